--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,934 @@
+// Package policy decides for one session manager where each playback goes, at which rung it plays, when it
+// is rejected, moved or stepped. A door (cmd/adapter today) calls it: At, the event methods, then Settle.
+// session/session.go defines that interface. docs/design.md says which rule comes from which source.
+package policy
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"math"
+	"slices"
+
+	"pierlink/session"
+)
+
+// Tuned values; each is a share or a multiple of something that the site tells.
+const (
+	brim       = 0.90 // the design's mark: a stream opens where it leaves the link under this
+	admit      = 0.98 // at the lowest rung a playback is still taken up to here
+	spare      = 0.40 // how much lower the mark lies for the rungs that earn least for their rate
+	shortAt    = 1.00 // from here on streams step down
+	relieved   = 0.93 // and go on until the link is asked so much
+	upBelow    = 0.04 // stepping up leaves so much more free than opening does
+	trust      = 0.60 // weight of a new reading against what was expected of it
+	swing      = 0.04 // chance added to the fill, so that fronts do not all pick the same server
+	probeSpend = 0.01 // probes may cost this part of the whole result
+	coldShare  = 0.75 // of the cold budget, for the unknown shape of the ramp
+	changePays = 2.0  // a step up must earn its cost so many times
+	buckets    = 8    // of a ring's span
+	history    = 32   // buckets of a gauge's own past
+)
+
+type (
+	// Time is session.Time.
+	Time = session.Time
+
+	// ring counts over a span in buckets that are used again; one bucket more than the span is kept.
+	ring struct {
+		span Time
+		at   Time
+		n    [buckets + 1]float64
+	}
+
+	// gauge tells how full a link or an uplink is: the latest reading, corrected by what this front changed
+	// since the moment that the reading is of.
+	gauge struct {
+		kb, own, base float64
+		known         bool
+		readAt        Time
+		shortAt       Time // last found short
+		steppedAt     Time // this front last stepped streams here
+		at            Time
+		past          [history]float64
+	}
+
+	server struct {
+		entry     session.Entry
+		rack      int
+		link      gauge
+		streams   []*stream
+		out       int  // setup tries out
+		oldest    Time // when the oldest of them was sent, as far as known
+		strikes   int
+		shunUntil Time
+		trial     bool // one try at a time until one succeeds
+		coldUntil Time
+		coldTold  bool // by the list; otherwise only feared
+		cold      ring
+		probeOut  bool
+		probedAt  Time
+	}
+
+	// stream is one title at one server, plan and rung, as far as this front's playbacks make it up.
+	stream struct {
+		title, plan, server, rung int
+		members                   []*playback
+		changedAt                 Time
+		opened                    bool // by this front, remote, for want of local room
+	}
+
+	playback struct {
+		session.Request
+		aim, since Time
+		stream     *stream
+		tries      int
+		tried      []int
+		ranAt      int // where a keyed or unsafe try may have run, -1 for nowhere
+		ranSince   Time
+		out, plays bool
+		holdsSeat  bool
+		gone       bool
+		dirty      bool
+		// wanted against present
+		wantServer, wantRung, setRung int
+		limit                         Time
+		wantEnd                       int
+		wantMove, moving              bool
+	}
+
+	front struct {
+		*session.Site
+		now             Time
+		seed            uint64
+		draws           uint32
+		started         Time
+		servers         []server
+		racks           []gauge
+		places          float64 // of all listed servers
+		pbs             []*playback
+		dirty           []*playback
+		seats           map[[2]int]int
+		tenants         []ring
+		taken, extra    ring
+		typical         float64 // setup time
+		life            []float64
+		best            float64 // revenue for a kB at the densest floor
+		wakeAt, wokenAt Time
+		watchAt         Time // when to subscribe; 0 for no need
+		probes          float64
+		wantProbes      []int
+	}
+)
+
+const (
+	open = iota
+	reject
+	abort
+)
+
+// New returns the decision module of one front.
+func New(site *session.Site, seed uint64, now Time) session.Manager {
+	f := &front{Site: site, seed: seed, started: now, now: now, racks: make([]gauge, site.Fleet.Racks),
+		seats: map[[2]int]int{}, tenants: make([]ring, len(site.Tenants)), life: make([]float64, len(site.Plans))}
+	for i := range f.racks {
+		f.racks[i].kb = site.Fleet.UplinkKB
+	}
+	for i := range f.tenants {
+		f.tenants[i].span = 10 * session.Second
+	}
+	f.taken.span, f.extra.span = site.Terms.TrySpan, site.Terms.TrySpan
+	for i, p := range site.Plans {
+		f.best = max(f.best, p.Revenue*f.worth(p.Floor)/f.rate(i, p.Floor))
+		f.life[i] = 2 * float64(site.Terms.WarmUp)
+	}
+	if site.ListOnRequest {
+		f.watchAt = now
+	}
+	f.wakeAt = now + f.tick()
+	return f
+}
+
+func (f *front) worth(rung int) float64      { return f.Ladder.Worth[rung] }
+func (f *front) rate(plan, rung int) float64 { return f.Ladder.RateKB[rung] * f.Plans[plan].RateFactor }
+func (f *front) tick() Time                  { return max(f.Fleet.NoteDelay/4, 1000) }
+
+// chance is the next number in [0,1).
+func (f *front) chance() float64 {
+	var b [12]byte
+	binary.BigEndian.PutUint64(b[:], f.seed)
+	binary.BigEndian.PutUint32(b[8:], f.draws)
+	f.draws++
+	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+}
+
+func (r *ring) turn(now Time) {
+	width := max(r.span/buckets, 1)
+	at := now / width
+	for i := max(r.at+1, at-buckets); i <= at; i++ {
+		r.n[i%(buckets+1)] = 0
+	}
+	r.at = max(r.at, at)
+}
+
+func (r *ring) add(now Time, x float64) {
+	r.turn(now)
+	r.n[r.at%(buckets+1)] += x
+}
+
+// sum is the count over the span and up to a bucket more, or with least up to a bucket less.
+func (r *ring) sum(now Time, least bool) (s float64) {
+	r.turn(now)
+	for i, x := range r.n {
+		if !least || Time(i) != (r.at+1)%(buckets+1) {
+			s += x
+		}
+	}
+	return s
+}
+
+func (f *front) bucket() Time { return max(f.Fleet.NoteDelay/8, 1) }
+
+func (g *gauge) turn(f *front) {
+	at := f.now / f.bucket()
+	for i := max(g.at+1, at-history+1); i <= at; i++ {
+		g.past[i%history] = g.own
+	}
+	g.at = at
+}
+
+func (g *gauge) add(f *front, kb float64) {
+	g.turn(f)
+	g.own += kb
+	g.past[g.at%history] = g.own
+}
+
+// fill is what is asked of the link, in parts of what it gives.
+func (g *gauge) fill(f *front) float64 {
+	if !g.known {
+		return g.own * float64(f.Fronts) / g.kb
+	}
+	return max(g.base+g.own/g.kb, g.own/g.kb*0.5)
+}
+
+// read takes a reading of the fill as it was at a moment past.
+func (g *gauge) read(f *front, x float64, asOf Time) {
+	g.turn(f)
+	then := g.past[max(asOf/f.bucket(), g.at-history+1)%history]
+	base := x - then/g.kb
+	if g.known {
+		base = trust*base + (1-trust)*g.base
+	}
+	g.base, g.known, g.readAt = base, true, f.now
+}
+
+func (f *front) At(now Time) { f.now = now }
+
+func (f *front) server(i int) *server {
+	for len(f.servers) <= i {
+		s := server{shunUntil: 0}
+		s.link.kb = f.Fleet.LinksKB / float64(max(f.Fleet.Cells, 1))
+		s.cold.span = f.Terms.FallSpan
+		f.servers = append(f.servers, s)
+	}
+	return &f.servers[i]
+}
+
+// Listed follows the list of servers.
+func (f *front) Listed(l session.List) {
+	if l.Failed {
+		if f.ListOnRequest {
+			f.watchAt = f.now + f.Terms.AskWithin/4
+		}
+		return
+	}
+	if l.Whole {
+		for i := range f.servers {
+			f.servers[i].entry.State = session.Gone
+		}
+	}
+	for _, e := range l.Entries {
+		s := f.server(e.Server)
+		was := s.entry
+		s.entry = e
+		if rack := e.Cell % f.Fleet.Racks; rack != s.rack {
+			f.racks[s.rack].add(f, -s.link.own)
+			f.racks[rack].add(f, s.link.own)
+			s.rack = rack
+		}
+		if e.Started > 0 && e.Started != was.Started && e.Started+f.Terms.WarmUp > f.now {
+			// a restart: what was known of the process is void, and all managers hear of it at once
+			s.coldUntil, s.coldTold = e.Started+f.Terms.WarmUp, true
+			s.shunUntil, s.strikes, s.trial = 0, 0, false
+			s.link.known = false
+			if f.now-f.started < f.Terms.FallSpan {
+				s.cold.add(f.now, f.coldBudget(s)) // just back: what it sent before is forgotten
+			}
+		}
+	}
+	f.places = 0
+	for i := range f.servers {
+		if s := &f.servers[i]; s.entry.State != session.Gone {
+			f.places += f.Fleet.Places[s.entry.Kind]
+		}
+	}
+	for i := range f.servers {
+		if s := &f.servers[i]; s.entry.State != session.Gone {
+			if f.Fleet.WeightsTold {
+				s.link.kb = s.entry.Weight * f.Fleet.KBPerWeight
+			} else {
+				s.link.kb = f.Fleet.LinksKB * f.Fleet.Places[s.entry.Kind] / f.places
+			}
+		}
+	}
+}
+
+// coldBudget is this front's share of what a cold server takes within the span of the rule.
+func (f *front) coldBudget(s *server) float64 {
+	t := &f.Terms
+	warmth := 1 - (1-t.ColdFrom)*float64(s.coldUntil-f.now)/float64(t.WarmUp)
+	b := f.Fleet.Places[s.entry.Kind] / float64(t.WarmUp) * float64(t.FallSpan) * t.FallMultiple
+	b *= coldShare * min(max(warmth, t.ColdFrom), 1) / float64(f.Fronts)
+	if !s.coldTold {
+		b = max(b, 1)
+	}
+	return b
+}
+
+// usable tells whether a set-up may go to the server now.
+func (f *front) usable(i int) bool {
+	s := &f.servers[i]
+	if s.entry.State != session.Ready || f.now < s.shunUntil || s.trial && s.out > 0 {
+		return false
+	}
+	// Guards against silent servers: tries that have been out far longer than usual speak for themselves
+	// before the first of them times out. It harms where set-ups slow down everywhere at once.
+	if s.out > 0 && f.typical > 0 && float64(f.now-s.oldest) > 5*f.typical {
+		return false
+	}
+	// A manager that has just come back cannot know which servers are cold.
+	feared := f.now-f.started < f.Terms.WarmUp && f.started > 0
+	if f.now < s.coldUntil || feared {
+		return s.cold.sum(f.now, false)+1 <= f.coldBudget(s)
+	}
+	return true
+}
+
+func (f *front) holds(pb *playback, s *server) bool {
+	n := f.Fleet.Cells
+	return pb.Span <= 0 || pb.Span >= n || ((s.entry.Cell-pb.Base)%n+n)%n < pb.Span
+}
+
+// fullness is the tighter of link and uplink once kb more are asked.
+func (f *front) fullness(s *server, kb float64) float64 {
+	k, link := &f.racks[s.rack], s.link.kb
+	if f.now < s.coldUntil {
+		link *= f.Terms.ColdFrom
+	}
+	return max(s.link.fill(f)+kb/link, k.fill(f)+kb/k.kb)
+}
+
+// mark is how full a link may get by taking a playback from a rung (-1: from nothing) to a higher one,
+// if that asks kb more. Steps that earn much for their rate may fill it to the brim; the others leave
+// room for viewers still to come.
+func (f *front) mark(plan, from, to int, kb, revenue float64) float64 {
+	gain := f.worth(to)
+	if from >= 0 {
+		gain -= f.worth(from)
+	}
+	return brim * (1 - spare*(1-min(1, gain*revenue/kb/f.best)))
+}
+
+// revenue is a plan's, less what the tenant's traffic beyond its share is not worth.
+func (f *front) revenue(pb *playback) float64 {
+	r := f.Plans[pb.Plan].Revenue
+	if pb.Tenant < len(f.tenants) {
+		t := &f.tenants[pb.Tenant]
+		since := float64(max(min(t.span, f.now-f.started), session.Second)) / float64(session.Second)
+		rate := t.sum(f.now, true) / since * float64(f.Fronts)
+		if q := f.Site.Tenants[pb.Tenant].QuotaPerS; rate > q && q > 0 {
+			r *= q/rate + (1-q/rate)*f.Prices.OverShare
+		}
+	}
+	return r
+}
+
+// best rung for opening at a server, -1 if none fits.
+func (f *front) openRung(pb *playback, s *server) int {
+	p := &f.Plans[pb.Plan]
+	revenue := f.revenue(pb)
+	for r := pb.Top; r >= p.Floor; r-- {
+		kb := f.rate(pb.Plan, r)
+		limit := admit
+		if r > p.Floor {
+			step := kb - f.rate(pb.Plan, r-1)
+			if p.Live {
+				step *= f.Ladder.Join
+			}
+			limit = f.mark(pb.Plan, r-1, r, step, revenue)
+		}
+		if f.fullness(s, kb) <= limit {
+			return r
+		}
+	}
+	return -1
+}
+
+// place finds a server and a rung: a running stream to join, else the roomiest holder, local ones first.
+func (f *front) place(pb *playback) (srv, rung int, remote bool) {
+	p := &f.Plans[pb.Plan]
+	revenue := f.revenue(pb)
+	srv = -1
+	var room float64
+	if p.Live {
+		for i := range f.servers {
+			s := &f.servers[i]
+			if slices.Contains(pb.tried, i) || !f.holds(pb, s) || !f.may(pb, i) || !f.usable(i) {
+				continue
+			}
+			for _, st := range s.streams {
+				if st.title != pb.Title || st.plan != pb.Plan || st.rung > pb.Top || st.rung < p.Floor ||
+					s.entry.Zone != f.Zone && !st.opened {
+					continue
+				}
+				kb := f.rate(pb.Plan, st.rung) * f.Ladder.Join
+				full := f.fullness(s, kb)
+				if full <= f.mark(pb.Plan, -1, st.rung, kb, revenue) &&
+					(srv < 0 || st.rung > rung || st.rung == rung && full < room) {
+					srv, rung, room, remote = i, st.rung, full, st.opened
+				}
+			}
+		}
+		if srv >= 0 {
+			return srv, rung, remote
+		}
+	}
+	for _, local := range []bool{true, false} {
+		for i := range f.servers {
+			s := &f.servers[i]
+			if (s.entry.Zone == f.Zone) != local || slices.Contains(pb.tried, i) || !f.holds(pb, s) ||
+				!f.may(pb, i) || !f.usable(i) {
+				continue
+			}
+			full := f.fullness(s, f.rate(pb.Plan, p.Floor)) + swing*f.chance()
+			if srv >= 0 && full >= room {
+				continue
+			}
+			if r := f.openRung(pb, s); r >= 0 {
+				srv, rung, room = i, r, full
+			}
+		}
+		if srv >= 0 {
+			return srv, rung, !local
+		}
+	}
+	return -1, 0, false
+}
+
+// may keeps keyed plans within their scope once a try may have run.
+func (f *front) may(pb *playback, i int) bool {
+	p := &f.Plans[pb.Plan]
+	if p.Repeat == session.Harmless || pb.ranAt < 0 {
+		return true
+	}
+	a, b := &f.servers[pb.ranAt].entry, &f.servers[i].entry
+	return p.Repeat == session.Keyed && f.now-pb.ranSince < p.Window &&
+		(p.Scope == session.Everywhere || p.Scope == session.SameZone && a.Zone == b.Zone ||
+			p.Scope == session.SameCell && a.Cell == b.Cell)
+}
+
+// Requested takes a playback.
+func (f *front) Requested(r session.Request) {
+	pb := f.take(r)
+	f.taken.add(f.now, 1)
+	if pb.Tenant < len(f.tenants) {
+		f.tenants[pb.Tenant].add(f.now, 1)
+	}
+	if f.Prices.Probe > 0 {
+		f.probes = min(f.probes+probeSpend/f.Prices.Probe, float64(len(f.servers)))
+	}
+	f.decide(pb)
+}
+
+func (f *front) take(r session.Request) *playback {
+	pb := &playback{Request: r, wantServer: -1, ranAt: -1, since: f.now, setRung: f.Plans[r.Plan].Floor}
+	pb.Top = min(pb.Top, f.Plans[r.Plan].Top)
+	pb.aim = f.now + f.Plans[r.Plan].Startup
+	for len(f.pbs) <= r.Playback {
+		f.pbs = append(f.pbs, nil)
+	}
+	f.pbs[r.Playback] = pb
+	return pb
+}
+
+func (f *front) touch(pb *playback) {
+	if !pb.dirty {
+		pb.dirty = true
+		f.dirty = append(f.dirty, pb)
+	}
+}
+
+// decide sends a playback that has no try out, or answers it.
+func (f *front) decide(pb *playback) {
+	f.touch(pb)
+	p := &f.Plans[pb.Plan]
+	key := [2]int{pb.Plan, pb.Title}
+	left := pb.Abandon - f.now
+	seated := p.Seats == 0 || f.seats[key] < p.Seats
+	again := pb.tries == 0 || pb.tries < f.Terms.MaxTries && f.rationLeft()
+	if pb.Top >= p.Floor && seated && again && float64(left) > 2*f.typical && left > 0 {
+		if srv, rung, remote := f.place(pb); srv >= 0 {
+			s := f.server(srv)
+			pb.wantServer, pb.wantRung = srv, rung
+			f.attach(pb, srv, rung)
+			if remote && len(pb.stream.members) == 1 {
+				pb.stream.opened = true
+			}
+			pb.limit = f.limit(pb)
+			pb.tries++
+			if pb.tries > 1 {
+				f.extra.add(f.now, 1)
+			}
+			if p.Seats > 0 {
+				f.seats[key]++
+				pb.holdsSeat = true
+			}
+			if s.out == 0 {
+				s.oldest = f.now
+			}
+			s.out++
+			s.cold.add(f.now, 1)
+			return
+		}
+	}
+	pb.wantEnd = reject
+	if pb.ranAt >= 0 && (p.Repeat == session.Unsafe || p.Repeat == session.Keyed && p.Scope != session.Everywhere) {
+		pb.wantEnd = abort
+	}
+}
+
+func (f *front) rationLeft() bool {
+	t := &f.Terms
+	return !t.Rationed || f.extra.sum(f.now, false)+1 <= t.FreeTries+t.TryShare*f.taken.sum(f.now, true)
+}
+
+// limit leaves time for another try within the startup target, while there is one to be had.
+func (f *front) limit(pb *playback) Time {
+	if f.Plans[pb.Plan].Repeat == session.Unsafe {
+		return 0 // giving up on it would not make it safe to send again
+	}
+	parts := Time(1)
+	if pb.tries+1 < f.Terms.MaxTries {
+		parts = 2
+	}
+	if left := pb.aim - f.now; float64(left) > 4*f.typical && left > 0 {
+		return left / parts
+	}
+	return (pb.Abandon - f.now) / parts
+}
+
+func (f *front) streamKB(st *stream, n int) float64 {
+	if n == 0 {
+		return 0
+	}
+	return f.rate(st.plan, st.rung) * (1 + f.Ladder.Join*float64(n-1))
+}
+
+func (f *front) attach(pb *playback, srv, rung int) {
+	s := f.server(srv)
+	var st *stream
+	if f.Plans[pb.Plan].Live {
+		for _, x := range s.streams {
+			if x.title == pb.Title && x.plan == pb.Plan && x.rung == rung {
+				st = x
+			}
+		}
+	}
+	if st == nil {
+		st = &stream{title: pb.Title, plan: pb.Plan, server: srv, rung: rung, changedAt: f.now}
+		s.streams = append(s.streams, st)
+	}
+	f.weigh(st, len(st.members)+1)
+	st.members = append(st.members, pb)
+	pb.stream = st
+}
+
+// weigh books what a stream asks once it has n members.
+func (f *front) weigh(st *stream, n int) {
+	kb := f.streamKB(st, n) - f.streamKB(st, len(st.members))
+	s := f.server(st.server)
+	s.link.add(f, kb)
+	f.racks[s.rack].add(f, kb)
+}
+
+func (f *front) detach(pb *playback) {
+	st := pb.stream
+	if st == nil {
+		return
+	}
+	pb.stream = nil
+	f.weigh(st, len(st.members)-1)
+	st.members = slices.DeleteFunc(st.members, func(m *playback) bool { return m == pb })
+	if len(st.members) == 0 {
+		s := f.server(st.server)
+		s.streams = slices.DeleteFunc(s.streams, func(x *stream) bool { return x == st })
+	}
+}
+
+// step takes a stream's members to another rung, as far as they can use it.
+func (f *front) step(st *stream, rung int) {
+	for _, pb := range slices.Clone(st.members) {
+		if rung > pb.Top {
+			continue
+		}
+		f.detach(pb)
+		f.attach(pb, st.server, rung)
+		pb.stream.changedAt, pb.stream.opened = f.now, st.opened
+		pb.wantRung = rung
+		f.touch(pb)
+	}
+}
+
+// Opened takes over a playback that plays already.
+func (f *front) Opened(r session.Request, srv int) {
+	pb := f.take(r)
+	pb.tries, pb.out, pb.plays = 1, true, true
+	f.attach(pb, srv, pb.setRung)
+	pb.wantRung = pb.setRung
+	if f.Plans[r.Plan].Seats > 0 {
+		f.seats[[2]int{r.Plan, r.Title}]++
+		pb.holdsSeat = true
+	}
+	f.server(srv).out++
+	f.server(srv).out--
+}
+
+// Playing learns that a set-up has succeeded.
+func (f *front) Playing(id, try, srv int, took Time) {
+	pb := f.pbs[id]
+	if pb == nil || !pb.out || try != pb.tries-1 || pb.plays {
+		return
+	}
+	pb.plays = true
+	f.answered(srv, true)
+	if f.typical == 0 {
+		f.typical = float64(took)
+	}
+	f.typical += (float64(took) - f.typical) / 16
+}
+
+// answered notes that a setup try at a server has come to an end, well or not.
+func (f *front) answered(srv int, well bool) {
+	s := f.server(srv)
+	s.out = max(s.out-1, 0)
+	s.oldest = f.now
+	if well {
+		if s.trial { // it may have restarted unseen; its list entry may still be on the way
+			s.trial = false
+			if f.now >= s.coldUntil {
+				s.coldUntil, s.coldTold = f.now+f.Terms.WarmUp, false
+			}
+		}
+		s.strikes /= 2
+	}
+}
+
+// strike keeps new work off a server that fails, resets or keeps silent, twice as long each time.
+// It guards against whatever makes set-ups end badly there; it harms where single errors are common.
+func (f *front) strike(srv int) {
+	s := f.server(srv)
+	var base Time
+	for i := range f.Plans {
+		base = max(base, f.Plans[i].Startup)
+	}
+	s.shunUntil = max(s.shunUntil, f.now+base<<min(s.strikes, 3))
+	s.strikes++
+	s.trial = true
+}
+
+// Ended takes the end of a setup try or of a playback.
+func (f *front) Ended(r session.Result) {
+	pb := f.pbs[r.Playback]
+	if pb == nil || !pb.out || r.Try != pb.tries-1 {
+		return
+	}
+	f.loaded(r.Server, r.Load, f.now-f.Fleet.NoteDelay/2)
+	pb.out = false
+	f.detach(pb)
+	if pb.holdsSeat {
+		pb.holdsSeat = false
+		f.seats[[2]int{pb.Plan, pb.Title}]--
+	}
+	switch r.Outcome {
+	case session.Failed, session.TimedOut, session.NoConnection, session.Reset:
+		f.strike(r.Server)
+	case session.Full:
+		if f.Fleet.FullFrom > 0 {
+			f.server(r.Server).link.read(f, max(f.Fleet.FullFrom, f.server(r.Server).link.fill(f)), f.now)
+		}
+	}
+	if pb.plays {
+		if r.Outcome == session.OK {
+			f.life[pb.Plan] += (float64(f.now-pb.since) - f.life[pb.Plan]) / 16
+		}
+	} else {
+		f.answered(r.Server, false)
+	}
+	if r.Final || pb.plays || pb.gone {
+		f.forget(pb)
+		return
+	}
+	switch r.Outcome {
+	case session.Full, session.NoConnection, session.NotSent:
+	default:
+		pb.ranAt, pb.ranSince = r.Server, f.now-r.Took
+	}
+	pb.wantServer = -1
+	pb.tried = append(pb.tried, r.Server)
+	f.decide(pb)
+}
+
+func (f *front) forget(pb *playback) {
+	pb.gone = true
+	f.touch(pb)
+}
+
+// Left drops a playback whose client has gone.
+func (f *front) Left(id int) {
+	if pb := f.pbs[id]; pb != nil {
+		pb.wantEnd = open
+		pb.gone = true
+		if !pb.out {
+			f.forget(pb)
+		}
+	}
+}
+
+func (f *front) loaded(srv int, l session.Load, asOf Time) {
+	s := f.server(srv)
+	if l.HasLink {
+		if l.Capped && l.Link >= 1 {
+			l.Link = max(l.Link, s.link.fill(f))
+		}
+		s.link.read(f, l.Link, asOf)
+		f.relieve(&s.link, func(x int) bool { return x == srv })
+	}
+	if l.HasUplink {
+		f.racks[s.rack].read(f, l.Uplink, asOf)
+		f.relieve(&f.racks[s.rack], func(x int) bool { return f.servers[x].rack == s.rack })
+	}
+}
+
+// Probed takes the answer to a probe.
+func (f *front) Probed(srv int, o session.Outcome, l session.Load) {
+	s := f.server(srv)
+	s.probeOut = false
+	if o == session.OK {
+		f.loaded(srv, l, f.now-f.Fleet.NoteDelay/2)
+	} else if s.entry.State == session.Ready && o != session.Full {
+		f.strike(srv)
+	}
+}
+
+// Noted takes news on a playback.
+func (f *front) Noted(n session.Note) {
+	pb := f.pbs[n.Playback]
+	if pb == nil {
+		return
+	}
+	s := f.server(n.Server)
+	then := f.now - f.Fleet.NoteDelay
+	switch n.Kind {
+	case session.RungNow:
+		if pb.stream != nil && pb.stream.rung != int(n.Value) && int(n.Value) < len(f.Ladder.RateKB) {
+			srv := pb.stream.server
+			f.detach(pb)
+			f.attach(pb, srv, int(n.Value))
+		}
+		pb.setRung, pb.wantRung = int(n.Value), int(n.Value)
+	case session.LinkAsked:
+		f.loaded(n.Server, session.Load{Link: n.Value, HasLink: true}, then)
+	case session.UplinkAsked:
+		f.loaded(n.Server, session.Load{Uplink: n.Value, HasUplink: true}, then)
+	case session.Delivered:
+		g, l := &s.link, session.Load{Link: 1 / max(n.Value, 0.1), HasLink: true}
+		if f.racks[s.rack].fill(f) > g.fill(f) {
+			g, l = &f.racks[s.rack], session.Load{Uplink: l.Link, HasUplink: true}
+		}
+		if over := g.fill(f) > 1; n.Value < 0.98 && (g.fill(f) < 1/n.Value || !over) || n.Value >= 0.98 && over {
+			f.loaded(n.Server, l, then)
+		}
+	}
+}
+
+// relieve answers a shortage: of the streams behind the gauge those go one rung down that lose least for
+// the rate they free, until this front's part of what is too much is gone; the other fronts do the same.
+func (f *front) relieve(g *gauge, behind func(srv int) bool) {
+	x := g.fill(f)
+	if x <= shortAt {
+		return
+	}
+	g.shortAt = f.now
+	if f.now-g.steppedAt < 2*f.Fleet.NoteDelay && g.steppedAt > 0 {
+		return // what was stepped down is not in the readings yet
+	}
+	for need := (x - relieved) / x * g.own; need > 0; {
+		var worst *stream
+		least := math.Inf(1)
+		for i := range f.servers {
+			if !behind(i) {
+				continue
+			}
+			for _, st := range f.servers[i].streams {
+				if st.rung <= f.Plans[st.plan].Floor || f.now-st.changedAt < f.pace()/3 {
+					continue
+				}
+				lost := (f.worth(st.rung) - f.worth(st.rung-1)) * f.Plans[st.plan].Revenue * float64(len(st.members))
+				freed := f.streamKB(st, len(st.members)) * (1 - f.rate(st.plan, st.rung-1)/f.rate(st.plan, st.rung))
+				if lost/freed < least {
+					worst, least = st, lost/freed
+				}
+			}
+		}
+		if worst == nil {
+			return
+		}
+		before := g.own
+		f.step(worst, worst.rung-1)
+		need -= max(before-g.own, 1)
+		g.steppedAt = f.now
+	}
+}
+
+// pace is the design's time between two steps up.
+func (f *front) pace() Time { return 30 * session.Second }
+
+// raise takes streams one rung up where there is room and no shortage was heard of.
+func (f *front) raise(i int) {
+	s := &f.servers[i]
+	k := &f.racks[s.rack]
+	wait := f.pace() / 3
+	if s.entry.State != session.Ready || f.now < s.shunUntil || f.now < s.coldUntil ||
+		s.link.shortAt > 0 && f.now-s.link.shortAt < wait || k.shortAt > 0 && f.now-k.shortAt < wait ||
+		f.now-max(s.link.steppedAt, k.steppedAt) < 2*f.Fleet.NoteDelay {
+		return
+	}
+	var pick *stream
+	most := 0.0
+	for _, st := range s.streams {
+		n, gain := 0, 0.0
+		for _, pb := range st.members {
+			if pb.Top > st.rung && pb.plays && !pb.moving {
+				n++
+				gain += f.revenue(pb)
+			}
+		}
+		if n < len(st.members) || f.now-st.changedAt < wait {
+			continue
+		}
+		d := f.worth(st.rung+1) - f.worth(st.rung)
+		if d*f.life[st.plan] < changePays*float64(f.Ladder.Change) {
+			continue
+		}
+		kb := f.streamKB(st, n) * (f.rate(st.plan, st.rung+1)/f.rate(st.plan, st.rung) - 1)
+		m := f.mark(st.plan, st.rung, st.rung+1, kb/float64(n), gain/float64(n))
+		if v := gain * d / kb; v > most && f.fullness(s, kb) <= m-upBelow {
+			pick, most = st, v
+		}
+	}
+	if pick != nil {
+		f.step(pick, pick.rung+1)
+		s.link.steppedAt, k.steppedAt = f.now, f.now
+	}
+}
+
+// Woken runs what comes with time.
+func (f *front) Woken(uint64) {
+	if f.now < f.wakeAt {
+		return
+	}
+	f.wakeAt = f.now + f.tick()
+	for i := range f.servers {
+		f.raise(i)
+	}
+	f.probe()
+}
+
+// probe asks the server that was heard of longest ago, within what probes may cost.
+func (f *front) probe() {
+	if !f.Terms.Probes || !f.Fleet.LoadInProbes {
+		return
+	}
+	for f.probes >= 1 {
+		stale := -1
+		for i := range f.servers {
+			s := &f.servers[i]
+			heard := max(s.link.readAt, s.probedAt)
+			if s.entry.State != session.Ready || s.probeOut || f.Fleet.LoadInAnswers && f.now-heard < f.Terms.WarmUp/2 {
+				continue
+			}
+			if stale < 0 || heard < max(f.servers[stale].link.readAt, f.servers[stale].probedAt) {
+				stale = i
+			}
+		}
+		if stale < 0 {
+			return
+		}
+		f.servers[stale].probeOut, f.servers[stale].probedAt = true, f.now
+		f.probes--
+		f.wantProbes = append(f.wantProbes, stale)
+	}
+}
+
+// Told takes a message from a peer; none is sent yet.
+func (f *front) Told(int, []byte) {}
+
+// Settle emits the difference between what is wanted and what is out.
+func (f *front) Settle(a session.Actions) {
+	for i := 0; i < len(f.dirty); i++ {
+		pb := f.dirty[i]
+		pb.dirty = false
+		if pb.gone {
+			if !pb.out && f.pbs[pb.Playback] == pb {
+				f.pbs[pb.Playback] = nil
+				a.Forget(pb.Playback)
+			}
+			continue
+		}
+		switch {
+		case pb.wantEnd == reject:
+			a.Reject(pb.Playback, f.Terms.MaxComeAgain)
+		case pb.wantEnd == abort:
+			a.Abort(pb.Playback)
+		}
+		if pb.wantEnd != open {
+			f.pbs[pb.Playback] = nil
+			a.Forget(pb.Playback)
+			continue
+		}
+		if pb.wantRung != pb.setRung {
+			pb.setRung = pb.wantRung
+			a.SetRung(pb.Playback, pb.wantRung)
+		}
+		if pb.wantServer >= 0 && !pb.out {
+			pb.out = true
+			a.Try(pb.Playback, pb.wantServer, pb.limit)
+		}
+		if pb.wantMove && !pb.moving {
+			pb.moving = true
+			a.Move(pb.Playback)
+		}
+	}
+	f.dirty = f.dirty[:0]
+	for _, i := range f.wantProbes {
+		a.Probe(i)
+	}
+	f.wantProbes = f.wantProbes[:0]
+	if f.watchAt > 0 && f.now >= f.watchAt {
+		f.watchAt = 0
+		a.Watch()
+	}
+	if f.wakeAt != f.wokenAt {
+		f.wokenAt = f.wakeAt
+		a.Wake(f.wakeAt, 0)
+	}
+}
