--- a/policy/policy.go
+++ b/policy/policy.go
@@ -779,7 +779,7 @@
 				continue
 			}
 			for _, st := range f.servers[i].streams {
-				if st.rung <= f.Plans[st.plan].Floor || f.now-st.changedAt < f.pace()/3 {
+				if st.rung <= f.Plans[st.plan].Floor || f.now-st.changedAt < 2*f.Fleet.NoteDelay {
 					continue
 				}
 				lost := (f.worth(st.rung) - f.worth(st.rung-1)) * f.Plans[st.plan].Revenue * float64(len(st.members))
