--- a/policy/policy.go
+++ b/policy/policy.go
@@ -593,7 +593,7 @@
 	pb := f.take(r)
 	pb.tries, pb.out, pb.plays = 1, true, true
 	f.attach(pb, srv, pb.setRung)
-	pb.wantRung = pb.setRung
+	pb.wantRung, pb.stream.changedAt = pb.setRung, 0
 	if f.Plans[r.Plan].Seats > 0 {
 		f.seats[[2]int{r.Plan, r.Title}]++
 		pb.holdsSeat = true
@@ -743,6 +743,7 @@
 			srv := pb.stream.server
 			f.detach(pb)
 			f.attach(pb, srv, int(n.Value))
+			pb.stream.changedAt = 0
 		}
 		pb.setRung, pb.wantRung = int(n.Value), int(n.Value)
 	case session.LinkAsked:
@@ -799,14 +800,11 @@
 	}
 }
 
-// pace is the design's time between two steps up.
-func (f *front) pace() Time { return 30 * session.Second }
-
 // raise takes streams one rung up where there is room and no shortage was heard of.
 func (f *front) raise(i int) {
 	s := &f.servers[i]
 	k := &f.racks[s.rack]
-	wait := f.pace() / 3
+	wait := 6 * f.Fleet.NoteDelay
 	if s.entry.State != session.Ready || f.now < s.shunUntil || f.now < s.coldUntil ||
 		s.link.shortAt > 0 && f.now-s.link.shortAt < wait || k.shortAt > 0 && f.now-k.shortAt < wait ||
 		f.now-max(s.link.steppedAt, k.steppedAt) < 2*f.Fleet.NoteDelay {
@@ -822,11 +820,12 @@
 				gain += f.revenue(pb)
 			}
 		}
-		if n < len(st.members) || f.now-st.changedAt < wait {
+		if n < len(st.members) {
 			continue
 		}
 		d := f.worth(st.rung+1) - f.worth(st.rung)
-		if d*f.life[st.plan] < changePays*float64(f.Ladder.Change) {
+		pays := changePays * float64(f.Ladder.Change) / d // time in which the step earns its cost
+		if f.life[st.plan] < pays || st.changedAt > 0 && float64(f.now-st.changedAt) < pays {
 			continue
 		}
 		kb := f.streamKB(st, n) * (f.rate(st.plan, st.rung+1)/f.rate(st.plan, st.rung) - 1)
