--- a/policy/policy.go
+++ b/policy/policy.go
@@ -810,31 +810,35 @@
 		f.now-max(s.link.steppedAt, k.steppedAt) < 2*f.Fleet.NoteDelay {
 		return
 	}
-	var pick *stream
-	most := 0.0
-	for _, st := range s.streams {
-		n, gain := 0, 0.0
-		for _, pb := range st.members {
-			if pb.Top > st.rung && pb.plays && !pb.moving {
-				n++
-				gain += f.revenue(pb)
+	for others := 1.0; ; others = float64(f.Fronts) {
+		// the first step may use all the room; more of them at once leave the other fronts theirs
+		var pick *stream
+		most := 0.0
+		for _, st := range s.streams {
+			n, gain := 0, 0.0
+			for _, pb := range st.members {
+				if pb.Top > st.rung && pb.plays && !pb.moving {
+					n++
+					gain += f.revenue(pb)
+				}
+			}
+			if n < len(st.members) {
+				continue
+			}
+			d := f.worth(st.rung+1) - f.worth(st.rung)
+			pays := changePays * float64(f.Ladder.Change) / d // time in which the step earns its cost
+			if f.life[st.plan] < pays || st.changedAt > 0 && float64(f.now-st.changedAt) < pays {
+				continue
+			}
+			kb := f.streamKB(st, n) * (f.rate(st.plan, st.rung+1)/f.rate(st.plan, st.rung) - 1)
+			m := f.mark(st.plan, st.rung, st.rung+1, kb/float64(n), gain/float64(n))
+			if v := gain * d / kb; v > most && f.fullness(s, kb*others) <= m-upBelow {
+				pick, most = st, v
 			}
 		}
-		if n < len(st.members) {
-			continue
-		}
-		d := f.worth(st.rung+1) - f.worth(st.rung)
-		pays := changePays * float64(f.Ladder.Change) / d // time in which the step earns its cost
-		if f.life[st.plan] < pays || st.changedAt > 0 && float64(f.now-st.changedAt) < pays {
-			continue
-		}
-		kb := f.streamKB(st, n) * (f.rate(st.plan, st.rung+1)/f.rate(st.plan, st.rung) - 1)
-		m := f.mark(st.plan, st.rung, st.rung+1, kb/float64(n), gain/float64(n))
-		if v := gain * d / kb; v > most && f.fullness(s, kb) <= m-upBelow {
-			pick, most = st, v
+		if pick == nil {
+			return
 		}
-	}
-	if pick != nil {
 		f.step(pick, pick.rung+1)
 		s.link.steppedAt, k.steppedAt = f.now, f.now
 	}
