--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,11 +4,10 @@
 package policy
 
 import (
-	"encoding/binary"
-	"hash/crc32"
 	"math"
 	"slices"
 
+	"pierlink/internal/meter"
 	"pierlink/session"
 )
 
@@ -27,75 +26,10 @@
 	changePays = 2.0  // a step up must earn its cost so many times
 	buckets    = 8    // of a ring's span
 	history    = 32   // buckets of a gauge's own past
+	tenantSpan = 10 * session.Second
 )
 
 type (
-	// Time is session.Time.
-	Time = session.Time
-
-	// ring counts over a span in buckets that are used again; one bucket more than the span is kept.
-	ring struct {
-		span Time
-		at   Time
-		n    [buckets + 1]float64
-	}
-
-	// gauge tells how full a link or an uplink is: the latest reading, corrected by what this front changed
-	// since the moment that the reading is of.
-	gauge struct {
-		kb, own, base float64
-		known         bool
-		readAt        Time
-		shortAt       Time // last found short
-		steppedAt     Time // this front last stepped streams here
-		at            Time
-		past          [history]float64
-	}
-
-	server struct {
-		entry     session.Entry
-		rack      int
-		link      gauge
-		streams   []*stream
-		out       int  // setup tries out
-		oldest    Time // when the oldest of them was sent, as far as known
-		strikes   int
-		shunUntil Time
-		trial     bool // one try at a time until one succeeds
-		coldUntil Time
-		coldTold  bool // by the list; otherwise only feared
-		cold      ring
-		probeOut  bool
-		probedAt  Time
-	}
-
-	// stream is one title at one server, plan and rung, as far as this front's playbacks make it up.
-	stream struct {
-		title, plan, server, rung int
-		members                   []*playback
-		changedAt                 Time
-		opened                    bool // by this front, remote, for want of local room
-	}
-
-	playback struct {
-		session.Request
-		aim, since Time
-		stream     *stream
-		tries      int
-		tried      []int
-		ranAt      int // where a keyed or unsafe try may have run, -1 for nowhere
-		ranSince   Time
-		out, plays bool
-		holdsSeat  bool
-		gone       bool
-		dirty      bool
-		// wanted against present
-		wantServer, wantRung, setRung int
-		limit                         Time
-		wantEnd                       int
-		wantMove, moving              bool
-	}
-
 	front struct {
 		*session.Site
 		now             Time
@@ -108,8 +42,8 @@
 		pbs             []*playback
 		dirty           []*playback
 		seats           map[[2]int]int
-		tenants         []ring
-		taken, extra    ring
+		tenants         []meter.Count
+		taken, extra    meter.Count
 		typical         float64 // setup time
 		life            []float64
 		best            float64 // revenue for a kB at the densest floor
@@ -129,14 +63,15 @@
 // New returns the decision module of one front.
 func New(site *session.Site, seed uint64, now Time) session.Manager {
 	f := &front{Site: site, seed: seed, started: now, now: now, racks: make([]gauge, site.Fleet.Racks),
-		seats: map[[2]int]int{}, tenants: make([]ring, len(site.Tenants)), life: make([]float64, len(site.Plans))}
+		seats: map[[2]int]int{}, tenants: make([]meter.Count, len(site.Tenants)), life: make([]float64, len(site.Plans))}
 	for i := range f.racks {
-		f.racks[i].kb = site.Fleet.UplinkKB
+		f.racks[i] = f.gauge(site.Fleet.UplinkKB)
 	}
 	for i := range f.tenants {
-		f.tenants[i].span = 10 * session.Second
+		f.tenants[i] = meter.NewCount(tenantSpan, buckets)
 	}
-	f.taken.span, f.extra.span = site.Terms.TrySpan, site.Terms.TrySpan
+	f.taken = meter.NewCount(site.Terms.TrySpan, buckets)
+	f.extra = meter.NewCount(site.Terms.TrySpan, buckets)
 	for i, p := range site.Plans {
 		f.best = max(f.best, p.Revenue*f.worth(p.Floor)/f.rate(i, p.Floor))
 		f.life[i] = 2 * float64(site.Terms.WarmUp)
@@ -144,64 +79,10 @@
 	if site.ListOnRequest {
 		f.watchAt = now
 	}
-	f.wakeAt = now + f.tick()
+	f.wakeAt = now + 1
 	return f
 }
 
-func (f *front) worth(rung int) float64      { return f.Ladder.Worth[rung] }
-func (f *front) rate(plan, rung int) float64 { return f.Ladder.RateKB[rung] * f.Plans[plan].RateFactor }
-func (f *front) tick() Time                  { return max(f.Fleet.NoteDelay/4, 1000) }
-
-// chance is the next number in [0,1).
-func (f *front) chance() float64 {
-	var b [12]byte
-	binary.BigEndian.PutUint64(b[:], f.seed)
-	binary.BigEndian.PutUint32(b[8:], f.draws)
-	f.draws++
-	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
-}
-
-func (r *ring) turn(now Time) {
-	width := max(r.span/buckets, 1)
-	at := now / width
-	for i := max(r.at+1, at-buckets); i <= at; i++ {
-		r.n[i%(buckets+1)] = 0
-	}
-	r.at = max(r.at, at)
-}
-
-func (r *ring) add(now Time, x float64) {
-	r.turn(now)
-	r.n[r.at%(buckets+1)] += x
-}
-
-// sum is the count over the span and up to a bucket more, or with least up to a bucket less.
-func (r *ring) sum(now Time, least bool) (s float64) {
-	r.turn(now)
-	for i, x := range r.n {
-		if !least || Time(i) != (r.at+1)%(buckets+1) {
-			s += x
-		}
-	}
-	return s
-}
-
-func (f *front) bucket() Time { return max(f.Fleet.NoteDelay/8, 1) }
-
-func (g *gauge) turn(f *front) {
-	at := f.now / f.bucket()
-	for i := max(g.at+1, at-history+1); i <= at; i++ {
-		g.past[i%history] = g.own
-	}
-	g.at = at
-}
-
-func (g *gauge) add(f *front, kb float64) {
-	g.turn(f)
-	g.own += kb
-	g.past[g.at%history] = g.own
-}
-
 // fill is what is asked of the link, in parts of what it gives.
 func (g *gauge) fill(f *front) float64 {
 	if !g.known {
@@ -212,9 +93,7 @@
 
 // read takes a reading of the fill as it was at a moment past.
 func (g *gauge) read(f *front, x float64, asOf Time) {
-	g.turn(f)
-	then := g.past[max(asOf/f.bucket(), g.at-history+1)%history]
-	base := x - then/g.kb
+	base := x - g.past.At(f.now, asOf)/g.kb
 	if g.known {
 		base = trust*base + (1-trust)*g.base
 	}
@@ -223,16 +102,6 @@
 
 func (f *front) At(now Time) { f.now = now }
 
-func (f *front) server(i int) *server {
-	for len(f.servers) <= i {
-		s := server{shunUntil: 0}
-		s.link.kb = f.Fleet.LinksKB / float64(max(f.Fleet.Cells, 1))
-		s.cold.span = f.Terms.FallSpan
-		f.servers = append(f.servers, s)
-	}
-	return &f.servers[i]
-}
-
 // Listed follows the list of servers.
 func (f *front) Listed(l session.List) {
 	if l.Failed {
@@ -261,7 +130,7 @@
 			s.shunUntil, s.strikes, s.trial = 0, 0, false
 			s.link.known = false
 			if f.now-f.started < f.Terms.FallSpan {
-				s.cold.add(f.now, f.coldBudget(s)) // just back: what it sent before is forgotten
+				s.cold.Add(f.now, f.coldBudget(s)) // just back: what it sent before is forgotten
 			}
 		}
 	}
@@ -308,16 +177,11 @@
 	// A manager that has just come back cannot know which servers are cold.
 	feared := f.now-f.started < f.Terms.WarmUp && f.started > 0
 	if f.now < s.coldUntil || feared {
-		return s.cold.sum(f.now, false)+1 <= f.coldBudget(s)
+		return s.cold.Most(f.now)+1 <= f.coldBudget(s)
 	}
 	return true
 }
 
-func (f *front) holds(pb *playback, s *server) bool {
-	n := f.Fleet.Cells
-	return pb.Span <= 0 || pb.Span >= n || ((s.entry.Cell-pb.Base)%n+n)%n < pb.Span
-}
-
 // fullness is the tighter of link and uplink once kb more are asked.
 func (f *front) fullness(s *server, kb float64) float64 {
 	k, link := &f.racks[s.rack], s.link.kb
@@ -343,8 +207,8 @@
 	r := f.Plans[pb.Plan].Revenue
 	if pb.Tenant < len(f.tenants) {
 		t := &f.tenants[pb.Tenant]
-		since := float64(max(min(t.span, f.now-f.started), session.Second)) / float64(session.Second)
-		rate := t.sum(f.now, true) / since * float64(f.Fronts)
+		since := float64(max(min(tenantSpan, f.now-f.started), session.Second)) / float64(session.Second)
+		rate := t.Least(f.now) / since * float64(f.Fronts)
 		if q := f.Site.Tenants[pb.Tenant].QuotaPerS; rate > q && q > 0 {
 			r *= q/rate + (1-q/rate)*f.Prices.OverShare
 		}
@@ -439,9 +303,9 @@
 // Requested takes a playback.
 func (f *front) Requested(r session.Request) {
 	pb := f.take(r)
-	f.taken.add(f.now, 1)
+	f.taken.Add(f.now, 1)
 	if pb.Tenant < len(f.tenants) {
-		f.tenants[pb.Tenant].add(f.now, 1)
+		f.tenants[pb.Tenant].Add(f.now, 1)
 	}
 	if f.Prices.Probe > 0 {
 		f.probes = min(f.probes+probeSpend/f.Prices.Probe, float64(len(f.servers)))
@@ -460,13 +324,6 @@
 	return pb
 }
 
-func (f *front) touch(pb *playback) {
-	if !pb.dirty {
-		pb.dirty = true
-		f.dirty = append(f.dirty, pb)
-	}
-}
-
 // decide sends a playback that has no try out, or answers it.
 func (f *front) decide(pb *playback) {
 	f.touch(pb)
@@ -486,7 +343,7 @@
 			pb.limit = f.limit(pb)
 			pb.tries++
 			if pb.tries > 1 {
-				f.extra.add(f.now, 1)
+				f.extra.Add(f.now, 1)
 			}
 			if p.Seats > 0 {
 				f.seats[key]++
@@ -496,7 +353,7 @@
 				s.oldest = f.now
 			}
 			s.out++
-			s.cold.add(f.now, 1)
+			s.cold.Add(f.now, 1)
 			return
 		}
 	}
@@ -508,7 +365,7 @@
 
 func (f *front) rationLeft() bool {
 	t := &f.Terms
-	return !t.Rationed || f.extra.sum(f.now, false)+1 <= t.FreeTries+t.TryShare*f.taken.sum(f.now, true)
+	return !t.Rationed || f.extra.Most(f.now)+1 <= t.FreeTries+t.TryShare*f.taken.Least(f.now)
 }
 
 // limit leaves time for another try within the startup target, while there is one to be had.
@@ -526,54 +383,6 @@
 	return (pb.Abandon - f.now) / parts
 }
 
-func (f *front) streamKB(st *stream, n int) float64 {
-	if n == 0 {
-		return 0
-	}
-	return f.rate(st.plan, st.rung) * (1 + f.Ladder.Join*float64(n-1))
-}
-
-func (f *front) attach(pb *playback, srv, rung int) {
-	s := f.server(srv)
-	var st *stream
-	if f.Plans[pb.Plan].Live {
-		for _, x := range s.streams {
-			if x.title == pb.Title && x.plan == pb.Plan && x.rung == rung {
-				st = x
-			}
-		}
-	}
-	if st == nil {
-		st = &stream{title: pb.Title, plan: pb.Plan, server: srv, rung: rung, changedAt: f.now}
-		s.streams = append(s.streams, st)
-	}
-	f.weigh(st, len(st.members)+1)
-	st.members = append(st.members, pb)
-	pb.stream = st
-}
-
-// weigh books what a stream asks once it has n members.
-func (f *front) weigh(st *stream, n int) {
-	kb := f.streamKB(st, n) - f.streamKB(st, len(st.members))
-	s := f.server(st.server)
-	s.link.add(f, kb)
-	f.racks[s.rack].add(f, kb)
-}
-
-func (f *front) detach(pb *playback) {
-	st := pb.stream
-	if st == nil {
-		return
-	}
-	pb.stream = nil
-	f.weigh(st, len(st.members)-1)
-	st.members = slices.DeleteFunc(st.members, func(m *playback) bool { return m == pb })
-	if len(st.members) == 0 {
-		s := f.server(st.server)
-		s.streams = slices.DeleteFunc(s.streams, func(x *stream) bool { return x == st })
-	}
-}
-
 // step takes a stream's members to another rung, as far as they can use it.
 func (f *front) step(st *stream, rung int) {
 	for _, pb := range slices.Clone(st.members) {
@@ -598,8 +407,6 @@
 		f.seats[[2]int{r.Plan, r.Title}]++
 		pb.holdsSeat = true
 	}
-	f.server(srv).out++
-	f.server(srv).out--
 }
 
 // Playing learns that a set-up has succeeded.
@@ -687,11 +494,6 @@
 	f.decide(pb)
 }
 
-func (f *front) forget(pb *playback) {
-	pb.gone = true
-	f.touch(pb)
-}
-
 // Left drops a playback whose client has gone.
 func (f *front) Left(id int) {
 	if pb := f.pbs[id]; pb != nil {
@@ -849,7 +651,7 @@
 	if f.now < f.wakeAt {
 		return
 	}
-	f.wakeAt = f.now + f.tick()
+	f.wakeAt = f.now + max(f.Fleet.NoteDelay/4, 1)
 	for i := range f.servers {
 		f.raise(i)
 	}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,165 @@
+package policy
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"slices"
+
+	"pierlink/internal/meter"
+	"pierlink/session"
+)
+
+// What this front knows and holds. Nothing in this file decides.
+type (
+	// Time is session.Time.
+	Time = session.Time
+
+	// gauge tells how full a link or an uplink is: the latest reading, corrected by what this front changed
+	// since the moment that the reading is of.
+	gauge struct {
+		kb, own, base float64
+		known         bool
+		readAt        Time
+		shortAt       Time // last found short
+		steppedAt     Time // this front last stepped streams here
+		past          meter.Past
+	}
+
+	server struct {
+		entry     session.Entry
+		rack      int
+		link      gauge
+		streams   []*stream
+		out       int  // setup tries out
+		oldest    Time // when the oldest of them was sent, as far as known
+		strikes   int
+		shunUntil Time
+		trial     bool // one try at a time until one succeeds
+		coldUntil Time
+		coldTold  bool // by the list; otherwise only feared
+		cold      meter.Count
+		probeOut  bool
+		probedAt  Time
+	}
+
+	// stream is one title at one server, plan and rung, as far as this front's playbacks make it up.
+	stream struct {
+		title, plan, server, rung int
+		members                   []*playback
+		changedAt                 Time
+		opened                    bool // by this front, remote, for want of local room
+	}
+
+	playback struct {
+		session.Request
+		aim, since Time
+		stream     *stream
+		tries      int
+		tried      []int
+		ranAt      int // where a keyed or unsafe try may have run, -1 for nowhere
+		ranSince   Time
+		out, plays bool
+		holdsSeat  bool
+		gone       bool
+		dirty      bool
+		// wanted against present
+		wantServer, wantRung, setRung int
+		limit                         Time
+		wantEnd                       int
+		wantMove, moving              bool
+	}
+)
+
+func (f *front) gauge(kb float64) gauge {
+	return gauge{kb: kb, past: meter.NewPast(f.Fleet.NoteDelay/buckets, history)}
+}
+
+func (f *front) worth(rung int) float64      { return f.Ladder.Worth[rung] }
+func (f *front) rate(plan, rung int) float64 { return f.Ladder.RateKB[rung] * f.Plans[plan].RateFactor }
+
+// chance is the next number in [0,1).
+func (f *front) chance() float64 {
+	var b [12]byte
+	binary.BigEndian.PutUint64(b[:], f.seed)
+	binary.BigEndian.PutUint32(b[8:], f.draws)
+	f.draws++
+	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
+}
+
+func (g *gauge) add(f *front, kb float64) {
+	g.own += kb
+	g.past.Set(f.now, g.own)
+}
+
+func (f *front) server(i int) *server {
+	for len(f.servers) <= i {
+		f.servers = append(f.servers, server{cold: meter.NewCount(f.Terms.FallSpan, buckets),
+			link: f.gauge(f.Fleet.LinksKB / float64(f.Fleet.Cells))})
+	}
+	return &f.servers[i]
+}
+
+func (f *front) holds(pb *playback, s *server) bool {
+	n := f.Fleet.Cells
+	return pb.Span <= 0 || pb.Span >= n || ((s.entry.Cell-pb.Base)%n+n)%n < pb.Span
+}
+
+func (f *front) touch(pb *playback) {
+	if !pb.dirty {
+		pb.dirty = true
+		f.dirty = append(f.dirty, pb)
+	}
+}
+
+func (f *front) streamKB(st *stream, n int) float64 {
+	if n == 0 {
+		return 0
+	}
+	return f.rate(st.plan, st.rung) * (1 + f.Ladder.Join*float64(n-1))
+}
+
+func (f *front) attach(pb *playback, srv, rung int) {
+	s := f.server(srv)
+	var st *stream
+	if f.Plans[pb.Plan].Live {
+		for _, x := range s.streams {
+			if x.title == pb.Title && x.plan == pb.Plan && x.rung == rung {
+				st = x
+			}
+		}
+	}
+	if st == nil {
+		st = &stream{title: pb.Title, plan: pb.Plan, server: srv, rung: rung, changedAt: f.now}
+		s.streams = append(s.streams, st)
+	}
+	f.weigh(st, len(st.members)+1)
+	st.members = append(st.members, pb)
+	pb.stream = st
+}
+
+// weigh books what a stream asks once it has n members.
+func (f *front) weigh(st *stream, n int) {
+	kb := f.streamKB(st, n) - f.streamKB(st, len(st.members))
+	s := f.server(st.server)
+	s.link.add(f, kb)
+	f.racks[s.rack].add(f, kb)
+}
+
+func (f *front) detach(pb *playback) {
+	st := pb.stream
+	if st == nil {
+		return
+	}
+	pb.stream = nil
+	f.weigh(st, len(st.members)-1)
+	st.members = slices.DeleteFunc(st.members, func(m *playback) bool { return m == pb })
+	if len(st.members) == 0 {
+		s := f.server(st.server)
+		s.streams = slices.DeleteFunc(s.streams, func(x *stream) bool { return x == st })
+	}
+}
+
+func (f *front) forget(pb *playback) {
+	pb.gone = true
+	f.touch(pb)
+}
