--- a/policy/policy.go
+++ b/policy/policy.go
@@ -14,12 +14,12 @@
 // Tuned values; each is a share or a multiple of something that the site tells.
 const (
 	brim       = 0.90 // the design's mark: a stream opens where it leaves the link under this
-	admit      = 0.98 // at the lowest rung a playback is still taken up to here
+	admit      = 0.92 // at the lowest rung a playback is still taken up to here
 	spare      = 0.40 // how much lower the mark lies for the rungs that earn least for their rate
 	shortAt    = 1.00 // from here on streams step down
 	relieved   = 0.93 // and go on until the link is asked so much
 	upBelow    = 0.04 // stepping up leaves so much more free than opening does
-	trust      = 0.60 // weight of a new reading against what was expected of it
+	trust      = 0.50 // weight of a new reading against what was expected of it
 	swing      = 0.04 // chance added to the fill, so that fronts do not all pick the same server
 	probeSpend = 0.01 // probes may cost this part of the whole result
 	coldShare  = 0.75 // of the cold budget, for the unknown shape of the ramp
@@ -557,6 +557,9 @@
 		if f.racks[s.rack].fill(f) > g.fill(f) {
 			g, l = &f.racks[s.rack], session.Load{Uplink: l.Link, HasUplink: true}
 		}
+		if f.now-g.readAt < f.Fleet.NoteEvery {
+			return // a nearer figure than this smoothed one is at hand
+		}
 		if over := g.fill(f) > 1; n.Value < 0.98 && (g.fill(f) < 1/n.Value || !over) || n.Value >= 0.98 && over {
 			f.loaded(n.Server, l, then)
 		}
