--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -114,10 +114,10 @@
 	if r.Plan >= d.plans {
 		return r, fmt.Errorf("request of unknown class %d", r.Plan)
 	}
-	i, ok := d.titles[e.Show]
+	i, ok := d.titles[r.Show]
 	if !ok {
 		i = len(d.titles)
-		d.titles[e.Show] = i
+		d.titles[r.Show] = i
 	}
 	r.Title = i
 	r.Playback = len(d.ids)
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -45,7 +45,6 @@
 	Manager  uint16
 	ID       uint32
 	Server   Server
-	Show     uint64
 	Token    uint64
 	Try      int
 	Took     session.Time
@@ -150,7 +149,7 @@
 		flags := c.u8()
 		c.u64()
 		e.Request.Span = c.whole()
-		e.Show = c.u64()
+		e.Request.Show = c.u64()
 		e.Request.Base = c.whole()
 		e.flags(flags, hint)
 	case EvOpen:
@@ -159,7 +158,7 @@
 		flags := c.u8()
 		c.u64()
 		e.Request.Span = c.whole()
-		e.Show = c.u64()
+		e.Request.Show = c.u64()
 		e.Request.Plan = int(c.u8())
 		e.Request.Base = c.whole()
 		e.Server = c.server()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,6 +4,8 @@
 package policy
 
 import (
+	"encoding/binary"
+	"hash/crc32"
 	"math"
 	"slices"
 
@@ -14,12 +16,13 @@
 // Tuned values; each is a share or a multiple of something that the site tells.
 const (
 	brim       = 0.90 // the design's mark: a stream opens where it leaves the link under this
-	admit      = 0.92 // at the lowest rung a playback is still taken up to here
+	admit      = 0.86 // at the lowest rung a playback is still taken up to here
 	spare      = 0.40 // how much lower the mark lies for the rungs that earn least for their rate
 	shortAt    = 1.00 // from here on streams step down
-	relieved   = 0.93 // and go on until the link is asked so much
+	relieved   = 0.97 // and go on until the link is asked so much
 	upBelow    = 0.04 // stepping up leaves so much more free than opening does
 	trust      = 0.50 // weight of a new reading against what was expected of it
+	gather     = 0.10
 	swing      = 0.04 // chance added to the fill, so that fronts do not all pick the same server
 	probeSpend = 0.01 // probes may cost this part of the whole result
 	coldShare  = 0.75 // of the cold budget, for the unknown shape of the ramp
@@ -134,6 +137,9 @@
 			}
 		}
 	}
+	if f.now == f.started && !f.Fleet.LoadInAnswers {
+		f.probes = float64(len(l.Entries)) // a first look at all
+	}
 	f.places = 0
 	for i := range f.servers {
 		if s := &f.servers[i]; s.entry.State != session.Gone {
@@ -273,7 +279,12 @@
 				!f.may(pb, i) || !f.usable(i) {
 				continue
 			}
-			full := f.fullness(s, f.rate(pb.Plan, p.Floor)) + swing*f.chance()
+			full := f.fullness(s, f.rate(pb.Plan, p.Floor))
+			if p.Live {
+				full += gather * meet(pb.Show, s.entry.Cell)
+			} else {
+				full += swing * f.chance()
+			}
 			if srv >= 0 && full >= room {
 				continue
 			}
@@ -288,6 +299,10 @@
 	return -1, 0, false
 }
 
+func meet(show uint64, cell int) float64 {
+	return float64(crc32.ChecksumIEEE(binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint64(nil, show), uint32(cell)))) / (1 << 32)
+}
+
 // may keeps keyed plans within their scope once a try may have run.
 func (f *front) may(pb *playback, i int) bool {
 	p := &f.Plans[pb.Plan]
--- a/session/session.go
+++ b/session/session.go
@@ -47,11 +47,12 @@
 // Request is a playback to be set up.
 type Request struct {
 	Playback, Plan, Tenant, Title int
-	Abandon                       Time // clock time at which the client gives up this try
-	Top                           int  // highest rung that the viewer can use
-	Base, Span                    int  // the cells that hold the title: Span of them from Base on
-	Length                        Time // rough expected length, 0 if unknown
-	Moved                         bool // comes back from a Move
+	Show                          uint64 // the title's own id, the same at every front
+	Abandon                       Time   // clock time at which the client gives up this try
+	Top                           int    // highest rung that the viewer can use
+	Base, Span                    int    // the cells that hold the title: Span of them from Base on
+	Length                        Time   // rough expected length, 0 if unknown
+	Moved                         bool   // comes back from a Move
 }
 
 // Outcome is how a setup try, a playback or a probe ended.
