--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -45,7 +45,7 @@
 				if d != nil {
 					d.module = nil
 				}
-				d = newDoor(e.Manager, names, policy.New(site, e.Seed, b.Now), len(site.Plans), reply)
+				d = newDoor(e.Manager, names, policy.New(site, e.Seed, b.Now), site, reply)
 				doors[e.Manager] = d
 			case d == nil:
 				return fmt.Errorf("event %d for unknown instance %d", e.Code, e.Manager)
@@ -83,7 +83,7 @@
 	manager   uint16
 	module    session.Manager
 	names     []string
-	plans     int
+	site      *session.Site
 	reply     *simwire.Reply
 	busy      bool
 	servers   map[simwire.Server]int
@@ -94,8 +94,8 @@
 	free      []int
 }
 
-func newDoor(manager uint16, names []string, m session.Manager, plans int, reply *simwire.Reply) *door {
-	return &door{manager: manager, module: m, names: names, plans: plans, reply: reply,
+func newDoor(manager uint16, names []string, m session.Manager, site *session.Site, reply *simwire.Reply) *door {
+	return &door{manager: manager, module: m, names: names, site: site, reply: reply,
 		servers: map[simwire.Server]int{}, titles: map[uint64]int{}, playbacks: map[uint32]int{}}
 }
 
@@ -111,7 +111,7 @@
 
 func (d *door) request(e *simwire.Event) (session.Request, error) {
 	r := e.Request
-	if r.Plan >= d.plans {
+	if r.Plan >= len(d.site.Plans) {
 		return r, fmt.Errorf("request of unknown class %d", r.Plan)
 	}
 	i, ok := d.titles[r.Show]
@@ -151,6 +151,9 @@
 	case simwire.EvList:
 		l := session.List{Whole: e.Whole(), Failed: e.Failed(), Entries: make([]session.Entry, len(e.Entries))}
 		for i, x := range e.Entries {
+			if x.Kind >= len(d.site.Fleet.Places) {
+				return fmt.Errorf("list entry of unknown kind %d", x.Kind)
+			}
 			x.Server = d.server(x.ID)
 			l.Entries[i] = x.Entry
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,8 +4,6 @@
 package policy
 
 import (
-	"encoding/binary"
-	"hash/crc32"
 	"math"
 	"slices"
 
@@ -22,7 +20,7 @@
 	relieved   = 0.97 // and go on until the link is asked so much
 	upBelow    = 0.04 // stepping up leaves so much more free than opening does
 	trust      = 0.50 // weight of a new reading against what was expected of it
-	gather     = 0.10
+	gather     = 0.10 // the same for live titles, but equal at all fronts
 	swing      = 0.04 // chance added to the fill, so that fronts do not all pick the same server
 	probeSpend = 0.01 // probes may cost this part of the whole result
 	coldShare  = 0.75 // of the cold budget, for the unknown shape of the ramp
@@ -32,33 +30,8 @@
 	tenantSpan = 10 * session.Second
 )
 
-type (
-	front struct {
-		*session.Site
-		now             Time
-		seed            uint64
-		draws           uint32
-		started         Time
-		servers         []server
-		racks           []gauge
-		places          float64 // of all listed servers
-		pbs             []*playback
-		dirty           []*playback
-		seats           map[[2]int]int
-		tenants         []meter.Count
-		taken, extra    meter.Count
-		typical         float64 // setup time
-		life            []float64
-		best            float64 // revenue for a kB at the densest floor
-		wakeAt, wokenAt Time
-		watchAt         Time // when to subscribe; 0 for no need
-		probes          float64
-		wantProbes      []int
-	}
-)
-
 const (
-	open = iota
+	owed = iota
 	reject
 	abort
 )
@@ -140,19 +113,15 @@
 	if f.now == f.started && !f.Fleet.LoadInAnswers {
 		f.probes = float64(len(l.Entries)) // a first look at all
 	}
-	f.places = 0
+	places := 0.0
 	for i := range f.servers {
-		if s := &f.servers[i]; s.entry.State != session.Gone {
-			f.places += f.Fleet.Places[s.entry.Kind]
-		}
+		places += f.Fleet.Places[f.servers[i].entry.Kind]
 	}
 	for i := range f.servers {
-		if s := &f.servers[i]; s.entry.State != session.Gone {
-			if f.Fleet.WeightsTold {
-				s.link.kb = s.entry.Weight * f.Fleet.KBPerWeight
-			} else {
-				s.link.kb = f.Fleet.LinksKB * f.Fleet.Places[s.entry.Kind] / f.places
-			}
+		s := &f.servers[i]
+		s.link.kb = s.entry.Weight * f.Fleet.KBPerWeight
+		if !f.Fleet.WeightsTold {
+			s.link.kb = f.Fleet.LinksKB * f.Fleet.Places[s.entry.Kind] / places
 		}
 	}
 }
@@ -243,64 +212,87 @@
 	return -1
 }
 
+// can tells whether the next try of a playback may go to a server.
+func (f *front) can(pb *playback, i int) bool {
+	return !slices.Contains(pb.tried, i) && f.holds(pb, &f.servers[i]) && f.may(pb, i) && f.usable(i)
+}
+
 // place finds a server and a rung: a running stream to join, else the roomiest holder, local ones first.
 func (f *front) place(pb *playback) (srv, rung int, remote bool) {
-	p := &f.Plans[pb.Plan]
-	revenue := f.revenue(pb)
-	srv = -1
+	var run *stream
 	var room float64
-	if p.Live {
-		for i := range f.servers {
-			s := &f.servers[i]
-			if slices.Contains(pb.tried, i) || !f.holds(pb, s) || !f.may(pb, i) || !f.usable(i) {
+	for i := range f.servers {
+		s := &f.servers[i]
+		if !f.Plans[pb.Plan].Live || !f.can(pb, i) {
+			continue
+		}
+		for _, st := range s.streams {
+			if st.title != pb.Title || st.plan != pb.Plan || st.rung > pb.Top || s.entry.Zone != f.Zone && !st.opened {
 				continue
 			}
-			for _, st := range s.streams {
-				if st.title != pb.Title || st.plan != pb.Plan || st.rung > pb.Top || st.rung < p.Floor ||
-					s.entry.Zone != f.Zone && !st.opened {
-					continue
-				}
-				kb := f.rate(pb.Plan, st.rung) * f.Ladder.Join
-				full := f.fullness(s, kb)
-				if full <= f.mark(pb.Plan, -1, st.rung, kb, revenue) &&
-					(srv < 0 || st.rung > rung || st.rung == rung && full < room) {
-					srv, rung, room, remote = i, st.rung, full, st.opened
-				}
+			kb := f.rate(pb.Plan, st.rung) * f.Ladder.Join
+			full := f.fullness(s, kb)
+			if full <= f.mark(pb.Plan, -1, st.rung, kb, f.revenue(pb)) &&
+				(run == nil || st.rung > run.rung || st.rung == run.rung && full < room) {
+				run, room = st, full
 			}
 		}
-		if srv >= 0 {
-			return srv, rung, remote
-		}
 	}
-	for _, local := range []bool{true, false} {
-		for i := range f.servers {
-			s := &f.servers[i]
-			if (s.entry.Zone == f.Zone) != local || slices.Contains(pb.tried, i) || !f.holds(pb, s) ||
-				!f.may(pb, i) || !f.usable(i) {
-				continue
-			}
-			full := f.fullness(s, f.rate(pb.Plan, p.Floor))
-			if p.Live {
-				full += gather * meet(pb.Show, s.entry.Cell)
-			} else {
-				full += swing * f.chance()
-			}
-			if srv >= 0 && full >= room {
-				continue
+	if run != nil && !run.opened {
+		return run.server, run.rung, false
+	}
+	if run != nil && float64(len(run.members)+1) < f.goHome() {
+		return run.server, run.rung, true
+	}
+	if srv, rung = f.open(pb, true); srv >= 0 {
+		if run != nil && f.Prices.CrossZone > f.Prices.Move {
+			for _, m := range run.members { // they come back as requests and join the local stream
+				m.wantMove = m.plays
+				f.touch(m)
 			}
+		}
+		return srv, rung, false
+	}
+	if run != nil {
+		return run.server, run.rung, true
+	}
+	srv, rung = f.open(pb, false)
+	return srv, rung, true
+}
+
+// goHome is the paper's mark 2(1-c)/c. Its c is the price of crossing zones against that and what the room
+// of one more stream would earn at the lowest rung.
+func (f *front) goHome() float64 {
+	p := f.Prices.CrossZone
+	if p <= 0 {
+		return math.Inf(1)
+	}
+	c := p / (p + f.worth(0))
+	return 2 * (1 - c) / c
+}
+
+// open finds the roomiest holder of the zone, or of the others, and the rung for a new stream there.
+func (f *front) open(pb *playback, local bool) (srv, rung int) {
+	srv = -1
+	var room float64
+	for i := range f.servers {
+		s := &f.servers[i]
+		if (s.entry.Zone == f.Zone) != local || !f.can(pb, i) {
+			continue
+		}
+		full := f.fullness(s, f.rate(pb.Plan, f.Plans[pb.Plan].Floor))
+		if f.Plans[pb.Plan].Live { // all fronts lean to the same holders, where their viewers share
+			full += gather * meet(pb.Show, s.entry.Cell)
+		} else {
+			full += swing * f.chance()
+		}
+		if srv < 0 || full < room {
 			if r := f.openRung(pb, s); r >= 0 {
 				srv, rung, room = i, r, full
 			}
 		}
-		if srv >= 0 {
-			return srv, rung, !local
-		}
 	}
-	return -1, 0, false
-}
-
-func meet(show uint64, cell int) float64 {
-	return float64(crc32.ChecksumIEEE(binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint64(nil, show), uint32(cell)))) / (1 << 32)
+	return srv, rung
 }
 
 // may keeps keyed plans within their scope once a try may have run.
@@ -328,17 +320,6 @@
 	f.decide(pb)
 }
 
-func (f *front) take(r session.Request) *playback {
-	pb := &playback{Request: r, wantServer: -1, ranAt: -1, since: f.now, setRung: f.Plans[r.Plan].Floor}
-	pb.Top = min(pb.Top, f.Plans[r.Plan].Top)
-	pb.aim = f.now + f.Plans[r.Plan].Startup
-	for len(f.pbs) <= r.Playback {
-		f.pbs = append(f.pbs, nil)
-	}
-	f.pbs[r.Playback] = pb
-	return pb
-}
-
 // decide sends a playback that has no try out, or answers it.
 func (f *front) decide(pb *playback) {
 	f.touch(pb)
@@ -398,20 +379,6 @@
 	return (pb.Abandon - f.now) / parts
 }
 
-// step takes a stream's members to another rung, as far as they can use it.
-func (f *front) step(st *stream, rung int) {
-	for _, pb := range slices.Clone(st.members) {
-		if rung > pb.Top {
-			continue
-		}
-		f.detach(pb)
-		f.attach(pb, st.server, rung)
-		pb.stream.changedAt, pb.stream.opened = f.now, st.opened
-		pb.wantRung = rung
-		f.touch(pb)
-	}
-}
-
 // Opened takes over a playback that plays already.
 func (f *front) Opened(r session.Request, srv int) {
 	pb := f.take(r)
@@ -502,7 +469,9 @@
 	switch r.Outcome {
 	case session.Full, session.NoConnection, session.NotSent:
 	default:
-		pb.ranAt, pb.ranSince = r.Server, f.now-r.Took
+		if pb.ranAt < 0 {
+			pb.ranAt, pb.ranSince = r.Server, f.now-r.Took
+		}
 	}
 	pb.wantServer = -1
 	pb.tried = append(pb.tried, r.Server)
@@ -512,7 +481,7 @@
 // Left drops a playback whose client has gone.
 func (f *front) Left(id int) {
 	if pb := f.pbs[id]; pb != nil {
-		pb.wantEnd = open
+		pb.wantEnd = owed
 		pb.gone = true
 		if !pb.out {
 			f.forget(pb)
@@ -723,7 +692,7 @@
 		case pb.wantEnd == abort:
 			a.Abort(pb.Playback)
 		}
-		if pb.wantEnd != open {
+		if pb.wantEnd != owed {
 			f.pbs[pb.Playback] = nil
 			a.Forget(pb.Playback)
 			continue
--- a/policy/state.go
+++ b/policy/state.go
@@ -68,6 +68,28 @@
 		wantEnd                       int
 		wantMove, moving              bool
 	}
+
+	front struct {
+		*session.Site
+		now             Time
+		seed            uint64
+		draws           uint32
+		started         Time
+		servers         []server
+		racks           []gauge
+		pbs             []*playback
+		dirty           []*playback
+		seats           map[[2]int]int
+		tenants         []meter.Count
+		taken, extra    meter.Count
+		typical         float64 // setup time
+		life            []float64
+		best            float64 // revenue for a kB at the densest floor
+		wakeAt, wokenAt Time
+		watchAt         Time // when to subscribe; 0 for no need
+		probes          float64
+		wantProbes      []int
+	}
 )
 
 func (f *front) gauge(kb float64) gauge {
@@ -86,6 +108,12 @@
 	return float64(crc32.ChecksumIEEE(b[:])) / (1 << 32)
 }
 
+// meet is a number in [0,1) of a title and a cell, the same at every front.
+func meet(show uint64, cell int) float64 {
+	b := binary.BigEndian.AppendUint64(nil, show)
+	return float64(crc32.ChecksumIEEE(binary.BigEndian.AppendUint16(b, uint16(cell)))) / (1 << 32)
+}
+
 func (g *gauge) add(f *front, kb float64) {
 	g.own += kb
 	g.past.Set(f.now, g.own)
@@ -163,3 +191,28 @@
 	pb.gone = true
 	f.touch(pb)
 }
+
+func (f *front) take(r session.Request) *playback {
+	pb := &playback{Request: r, wantServer: -1, ranAt: -1, since: f.now, setRung: f.Plans[r.Plan].Floor}
+	pb.Top = min(pb.Top, f.Plans[r.Plan].Top)
+	pb.aim = f.now + f.Plans[r.Plan].Startup
+	for len(f.pbs) <= r.Playback {
+		f.pbs = append(f.pbs, nil)
+	}
+	f.pbs[r.Playback] = pb
+	return pb
+}
+
+// step takes a stream's members to another rung, as far as they can use it.
+func (f *front) step(st *stream, rung int) {
+	for _, pb := range slices.Clone(st.members) {
+		if rung > pb.Top {
+			continue
+		}
+		f.detach(pb)
+		f.attach(pb, st.server, rung)
+		pb.stream.changedAt, pb.stream.opened = f.now, st.opened
+		pb.wantRung = rung
+		f.touch(pb)
+	}
+}
