--- a/policy/policy.go
+++ b/policy/policy.go
@@ -331,7 +331,6 @@
 	again := pb.tries == 0 || pb.tries < f.Terms.MaxTries && f.rationLeft()
 	if pb.Top >= p.Floor && seated && again && float64(left) > 2*f.typical && left > 0 {
 		if srv, rung, remote := f.place(pb); srv >= 0 {
-			s := f.server(srv)
 			pb.wantServer, pb.wantRung = srv, rung
 			f.attach(pb, srv, rung)
 			if remote && len(pb.stream.members) == 1 {
@@ -342,15 +341,8 @@
 			if pb.tries > 1 {
 				f.extra.Add(f.now, 1)
 			}
-			if p.Seats > 0 {
-				f.seats[key]++
-				pb.holdsSeat = true
-			}
-			if s.out == 0 {
-				s.oldest = f.now
-			}
-			s.out++
-			s.cold.Add(f.now, 1)
+			f.hold(pb, srv)
+			f.servers[srv].cold.Add(f.now, 1)
 			return
 		}
 	}
@@ -386,10 +378,8 @@
 	pb.tries, pb.out, pb.plays = 1, true, true
 	f.attach(pb, srv, pb.setRung)
 	pb.wantRung, pb.stream.changedAt, f.fearedUntil = pb.setRung, never, never
-	if f.Plans[r.Plan].Seats > 0 {
-		f.seats[[2]int{r.Plan, r.Title}]++
-		pb.holdsSeat = true
-	}
+	f.hold(pb, srv)
+	f.answered(srv, true)
 }
 
 // Playing learns that a set-up has succeeded.
@@ -426,13 +416,15 @@
 // It guards against whatever makes set-ups end badly there; it harms where single errors are common.
 func (f *front) strike(srv int) {
 	s := f.server(srv)
+	if s.trial = true; f.now < s.shunUntil {
+		return // the same trouble, told again by the next playback
+	}
 	var base Time
 	for i := range f.Plans {
 		base = max(base, f.Plans[i].Startup)
 	}
-	s.shunUntil = max(s.shunUntil, f.now+base<<min(s.strikes, 3))
+	s.shunUntil = f.now + base<<min(s.strikes, 3)
 	s.strikes++
-	s.trial = true
 }
 
 // Ended takes the end of a setup try or of a playback.
@@ -442,12 +434,7 @@
 		return
 	}
 	f.loaded(r.Server, r.Load, f.now-f.Fleet.NoteDelay/2)
-	pb.out = false
-	f.detach(pb)
-	if pb.holdsSeat {
-		pb.holdsSeat = false
-		f.seats[[2]int{pb.Plan, pb.Title}]--
-	}
+	f.release(pb)
 	switch r.Outcome {
 	case session.Failed, session.TimedOut, session.NoConnection, session.Reset:
 		f.strike(r.Server)
@@ -481,10 +468,13 @@
 
 // Left drops a playback whose client has gone.
 func (f *front) Left(id int) {
-	if pb := f.pbs[id]; pb != nil {
-		pb.wantEnd = owed
-		pb.gone = true
-		if !pb.out {
+	if pb := f.pbs[id]; pb != nil && !pb.gone {
+		pb.wantEnd, pb.gone = owed, true
+		if !pb.out { // a try may have been decided on and not sent yet
+			if pb.wantServer >= 0 {
+				f.answered(pb.wantServer, false)
+			}
+			f.release(pb)
 			f.forget(pb)
 		}
 	}
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -172,6 +172,10 @@
 		s.out[pb] = false
 		s.m.Ended(session.Result{Playback: pb, Try: s.try[pb], Server: s.at[pb], Outcome: outcomes[w[2]],
 			Took: 50_000, Final: final, Load: load})
+		if len(w) > 3 { // `then left` at the same moment
+			s.end[pb] = true
+			s.m.Left(pb)
+		}
 	case "left":
 		s.end[plain[0]] = true
 		s.m.Left(plain[0])
--- a/policy/state.go
+++ b/policy/state.go
@@ -59,7 +59,7 @@
 		ranAt      int // where a keyed or unsafe try may have run, -1 for nowhere
 		ranSince   Time
 		out, plays bool
-		holdsSeat  bool
+		seated     bool
 		gone       bool
 		dirty      bool
 		// wanted against present
@@ -217,3 +217,24 @@
 		f.touch(pb)
 	}
 }
+
+// hold books a setup try, with its seat.
+func (f *front) hold(pb *playback, srv int) {
+	s := f.server(srv)
+	if s.out == 0 {
+		s.oldest = f.now
+	}
+	s.out++
+	pb.seated = true
+	f.seats[[2]int{pb.Plan, pb.Title}]++
+}
+
+// release takes a playback off its stream and its seat.
+func (f *front) release(pb *playback) {
+	pb.out = false
+	f.detach(pb)
+	if pb.seated {
+		pb.seated = false
+		f.seats[[2]int{pb.Plan, pb.Title}]--
+	}
+}
