--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,7 +15,7 @@
 const (
 	brim       = 0.90 // the design's mark: a stream opens where it leaves the link under this
 	admit      = 0.86 // at the lowest rung a playback is still taken up to here
-	spare      = 0.40 // how much lower the mark lies for the rungs that earn least for their rate
+	spare      = 0.50 // how much lower the mark lies for the rungs that earn least for their rate
 	shortAt    = 1.00 // from here on streams step down
 	relieved   = 0.97 // and go on until the link is asked so much
 	upBelow    = 0.04 // stepping up leaves so much more free than opening does
@@ -28,6 +28,9 @@
 	buckets    = 8    // of a ring's span
 	history    = 32   // buckets of a gauge's own past
 	tenantSpan = 10 * session.Second
+	makeRoom   = 0.65 // what stepping down may lose of what a playback earns that gets in so
+	least      = 0.30
+	follow     = 0.03
 	never      = math.MinInt64 / 4
 )
 
@@ -51,6 +54,7 @@
 	f.extra = meter.NewCount(site.Terms.TrySpan, buckets)
 	for i, p := range site.Plans {
 		f.best = max(f.best, p.Revenue*f.worth(p.Floor)/f.rate(i, p.Floor))
+		f.price = f.best
 		f.life[i] = 2 * float64(site.Terms.WarmUp)
 	}
 	f.watchAt = never
@@ -175,7 +179,7 @@
 	if from >= 0 {
 		gain -= f.worth(from)
 	}
-	return brim * (1 - spare*(1-min(1, gain*revenue/kb/f.best)))
+	return brim * (1 - spare*(1-min(1, gain*revenue/kb/f.price)))
 }
 
 // revenue is a plan's, less what the tenant's traffic beyond its share is not worth.
@@ -330,7 +334,12 @@
 	seated := p.Seats == 0 || f.seats[key] < p.Seats
 	again := pb.tries == 0 || pb.tries < f.Terms.MaxTries && f.rationLeft()
 	if pb.Top >= p.Floor && seated && again && float64(left) > 2*f.typical && left > 0 {
-		if srv, rung, remote := f.place(pb); srv >= 0 {
+		srv, rung, remote := f.place(pb)
+		if srv < 0 {
+			f.makeRoom(pb)
+			srv, rung, remote = f.place(pb)
+		}
+		if srv >= 0 {
 			pb.wantServer, pb.wantRung = srv, rung
 			f.attach(pb, srv, rung)
 			if remote && len(pb.stream.members) == 1 {
@@ -552,9 +561,14 @@
 	if f.now-g.steppedAt < 2*f.Fleet.NoteDelay {
 		return // what was stepped down is not in the readings yet
 	}
-	for need := (x - relieved) / x * g.own; need > 0; {
+	f.shed(g, behind, (x-relieved)/x*g.own, math.Inf(1))
+}
+
+// shed steps streams down until so much is freed, as long as that loses less for the rate than most.
+func (f *front) shed(g *gauge, behind func(srv int) bool, need, most float64) {
+	for need > 0 {
 		var worst *stream
-		least := math.Inf(1)
+		least := most
 		for i := range f.servers {
 			if !behind(i) {
 				continue
@@ -580,6 +594,28 @@
 	}
 }
 
+// makeRoom steps streams down where a playback would fit best, if it earns more in their place.
+// It guards against early viewers at high rungs starving those that come later.
+func (f *front) makeRoom(pb *playback) {
+	kb := f.rate(pb.Plan, f.Plans[pb.Plan].Floor)
+	best, room := -1, math.Inf(1)
+	for i := range f.servers {
+		if f.can(pb, i) && f.servers[i].entry.Zone == f.Zone {
+			if x := f.fullness(&f.servers[i], kb); x < room {
+				best, room = i, x
+			}
+		}
+	}
+	if best < 0 {
+		return
+	}
+	s := &f.servers[best]
+	k := &f.racks[s.rack]
+	most := makeRoom * f.revenue(pb) * f.worth(f.Plans[pb.Plan].Floor) / kb
+	f.shed(&s.link, func(x int) bool { return x == best }, (s.link.fill(f)-admit)*s.link.kb+kb, most)
+	f.shed(k, func(x int) bool { return f.servers[x].rack == s.rack }, (k.fill(f)-admit)*k.kb+kb, most)
+}
+
 // raise takes streams one rung up where there is room and no shortage was heard of.
 func (f *front) raise(i int) {
 	s := &f.servers[i]
@@ -623,12 +659,35 @@
 	}
 }
 
+func (f *front) untaken(i int) (most float64) {
+	for _, st := range f.servers[i].streams {
+		n, gain := 0, 0.0
+		for _, pb := range st.members {
+			if pb.Top > st.rung {
+				n++
+				gain += f.revenue(pb)
+			}
+		}
+		if n == len(st.members) {
+			d := f.worth(st.rung+1) - f.worth(st.rung)
+			kb := f.streamKB(st, n) * (f.rate(st.plan, st.rung+1)/f.rate(st.plan, st.rung) - 1)
+			most = max(most, gain*d/kb)
+		}
+	}
+	return most
+}
+
 // Woken runs what comes with time.
 func (f *front) Woken(uint64) {
 	if f.now < f.wakeAt {
 		return
 	}
 	f.wakeAt = f.now + max(f.Fleet.NoteDelay/4, 1)
+	untaken := 0.0
+	for i := range f.servers {
+		untaken = max(untaken, f.untaken(i))
+	}
+	f.price += (max(min(untaken, f.best), least*f.best) - f.price) * follow
 	for i := range f.servers {
 		f.raise(i)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -85,6 +85,7 @@
 		taken, extra    meter.Count
 		typical         float64 // setup time
 		life            []float64
+		price           float64
 		best            float64 // revenue for a kB at the densest floor
 		wakeAt, wokenAt Time
 		watchAt         Time // when to subscribe
