--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,7 +7,6 @@
 	"math"
 	"slices"
 
-	"pierlink/internal/meter"
 	"pierlink/session"
 )
 
@@ -29,8 +28,8 @@
 	history    = 32   // buckets of a gauge's own past
 	tenantSpan = 10 * session.Second
 	makeRoom   = 0.65 // what stepping down may lose of what a playback earns that gets in so
-	least      = 0.30
-	follow     = 0.03
+	least      = 0.30 // the price of room stays over this part of what the densest floor earns
+	follow     = 0.03 // and follows the best step left untaken so fast, a tick
 	never      = math.MinInt64 / 4
 )
 
@@ -42,19 +41,10 @@
 
 // New returns the decision module of one front.
 func New(site *session.Site, seed uint64, now Time) session.Manager {
-	f := &front{Site: site, seed: seed, started: now, now: now, racks: make([]gauge, site.Fleet.Racks),
-		seats: map[[2]int]int{}, tenants: make([]meter.Count, len(site.Tenants)), life: make([]float64, len(site.Plans))}
-	for i := range f.racks {
-		f.racks[i] = f.gauge(site.Fleet.UplinkKB)
-	}
-	for i := range f.tenants {
-		f.tenants[i] = meter.NewCount(tenantSpan, buckets)
-	}
-	f.taken = meter.NewCount(site.Terms.TrySpan, buckets)
-	f.extra = meter.NewCount(site.Terms.TrySpan, buckets)
+	f := newFront(site, seed, now)
 	for i, p := range site.Plans {
 		f.best = max(f.best, p.Revenue*f.worth(p.Floor)/f.rate(i, p.Floor))
-		f.price = f.best
+		f.price, f.slowest = f.best, max(f.slowest, p.Startup)
 		f.life[i] = 2 * float64(site.Terms.WarmUp)
 	}
 	f.watchAt = never
@@ -92,20 +82,15 @@
 		}
 		return
 	}
-	if l.Whole {
-		for i := range f.servers {
+	for i := range f.servers {
+		if l.Whole {
 			f.servers[i].entry.State = session.Gone
 		}
 	}
 	for _, e := range l.Entries {
 		s := f.server(e.Server)
 		was := s.entry
-		s.entry = e
-		if rack := e.Cell % f.Fleet.Racks; rack != s.rack {
-			f.racks[s.rack].add(f, -s.link.own)
-			f.racks[rack].add(f, s.link.own)
-			s.rack = rack
-		}
+		f.enter(s, e)
 		if e.Started > 0 && e.Started != was.Started && e.Started+f.Terms.WarmUp > f.now {
 			// a restart: what was known of the process is void, and all managers hear of it at once
 			s.coldUntil, s.coldTold = e.Started+f.Terms.WarmUp, true
@@ -171,15 +156,10 @@
 	return max(s.link.fill(f)+kb/link, k.fill(f)+kb/k.kb)
 }
 
-// mark is how full a link may get by taking a playback from a rung (-1: from nothing) to a higher one,
-// if that asks kb more. Steps that earn much for their rate may fill it to the brim; the others leave
-// room for viewers still to come.
-func (f *front) mark(plan, from, to int, kb, revenue float64) float64 {
-	gain := f.worth(to)
-	if from >= 0 {
-		gain -= f.worth(from)
-	}
-	return brim * (1 - spare*(1-min(1, gain*revenue/kb/f.price)))
+// mark is how full a link may get by a step that earns so much for the rate it adds. Where other steps
+// earn more and are not taken yet, it leaves room for them and for viewers still to come.
+func (f *front) mark(density float64) float64 {
+	return brim * (1 - spare*(1-min(1, density/f.price)))
 }
 
 // revenue is a plan's, less what the tenant's traffic beyond its share is not worth.
@@ -196,24 +176,22 @@
 	return r
 }
 
-// best rung for opening at a server, -1 if none fits.
+// openRung is the best rung for opening at a server, -1 if none fits.
 func (f *front) openRung(pb *playback, s *server) int {
 	p := &f.Plans[pb.Plan]
-	revenue := f.revenue(pb)
-	for r := pb.Top; r >= p.Floor; r-- {
+	for r := pb.Top; r > p.Floor; r-- {
 		kb := f.rate(pb.Plan, r)
-		limit := admit
-		if r > p.Floor {
-			step := kb - f.rate(pb.Plan, r-1)
-			if p.Live {
-				step *= f.Ladder.Join
-			}
-			limit = f.mark(pb.Plan, r-1, r, step, revenue)
+		step := kb - f.rate(pb.Plan, r-1)
+		if p.Live { // most of its viewers are still to join
+			step *= f.Ladder.Join
 		}
-		if f.fullness(s, kb) <= limit {
+		if f.fullness(s, kb) <= f.mark((f.worth(r)-f.worth(r-1))*f.revenue(pb)/step) {
 			return r
 		}
 	}
+	if f.fullness(s, f.rate(pb.Plan, p.Floor)) <= admit {
+		return p.Floor
+	}
 	return -1
 }
 
@@ -237,7 +215,7 @@
 			}
 			kb := f.rate(pb.Plan, st.rung) * f.Ladder.Join
 			full := f.fullness(s, kb)
-			if full <= f.mark(pb.Plan, -1, st.rung, kb, f.revenue(pb)) &&
+			if full <= f.mark(f.worth(st.rung)*f.revenue(pb)/kb) &&
 				(run == nil || st.rung > run.rung || st.rung == run.rung && full < room) {
 				run, room = st, full
 			}
@@ -356,7 +334,8 @@
 		}
 	}
 	pb.wantEnd = reject
-	if pb.ranAt >= 0 && (p.Repeat == session.Unsafe || p.Repeat == session.Keyed && p.Scope != session.Everywhere) {
+	unsure := p.Repeat == session.Unsafe || p.Repeat == session.Keyed && p.Scope != session.Everywhere
+	if pb.ranAt >= 0 && unsure {
 		pb.wantEnd = abort
 	}
 }
@@ -428,11 +407,7 @@
 	if s.trial = true; f.now < s.shunUntil {
 		return // the same trouble, told again by the next playback
 	}
-	var base Time
-	for i := range f.Plans {
-		base = max(base, f.Plans[i].Startup)
-	}
-	s.shunUntil = f.now + base<<min(s.strikes, 3)
+	s.shunUntil = f.now + f.slowest<<min(s.strikes, 3)
 	s.strikes++
 }
 
@@ -525,13 +500,7 @@
 	then := f.now - f.Fleet.NoteDelay
 	switch n.Kind {
 	case session.RungNow:
-		if pb.stream != nil && pb.stream.rung != int(n.Value) && int(n.Value) < len(f.Ladder.RateKB) {
-			srv := pb.stream.server
-			f.detach(pb)
-			f.attach(pb, srv, int(n.Value))
-			pb.stream.changedAt = never
-		}
-		pb.setRung, pb.wantRung = int(n.Value), int(n.Value)
+		f.playsAt(pb, int(n.Value))
 	case session.LinkAsked:
 		f.loaded(n.Server, session.Load{Link: n.Value, HasLink: true}, then)
 	case session.UplinkAsked:
@@ -616,13 +585,24 @@
 	f.shed(k, func(x int) bool { return f.servers[x].rack == s.rack }, (k.fill(f)-admit)*k.kb+kb, most)
 }
 
+// stepUp is what a stream's next rung earns and asks more; nothing unless all its viewers can take it.
+func (f *front) stepUp(st *stream) (gain, kb float64) {
+	for _, pb := range st.members {
+		if pb.Top == st.rung || !pb.plays || pb.moving {
+			return 0, 1
+		}
+		gain += f.revenue(pb) * (f.worth(st.rung+1) - f.worth(st.rung))
+	}
+	return gain, f.streamKB(st, len(st.members)) * (f.rate(st.plan, st.rung+1)/f.rate(st.plan, st.rung) - 1)
+}
+
 // raise takes streams one rung up where there is room and no shortage was heard of.
 func (f *front) raise(i int) {
 	s := &f.servers[i]
 	k := &f.racks[s.rack]
-	wait := 6 * f.Fleet.NoteDelay
 	if s.entry.State != session.Ready || !s.link.known || f.now < max(s.shunUntil, s.coldUntil) ||
-		f.now-max(s.link.shortAt, k.shortAt) < wait || f.now-max(s.link.steppedAt, k.steppedAt) < 2*f.Fleet.NoteDelay {
+		f.now-max(s.link.shortAt, k.shortAt) < 6*f.Fleet.NoteDelay ||
+		f.now-max(s.link.steppedAt, k.steppedAt) < 2*f.Fleet.NoteDelay {
 		return
 	}
 	for others := 1.0; ; others = float64(f.Fronts) {
@@ -630,25 +610,13 @@
 		var pick *stream
 		most := 0.0
 		for _, st := range s.streams {
-			n, gain := 0, 0.0
-			for _, pb := range st.members {
-				if pb.Top > st.rung && pb.plays && !pb.moving {
-					n++
-					gain += f.revenue(pb)
-				}
-			}
-			if n < len(st.members) {
-				continue
-			}
-			d := f.worth(st.rung+1) - f.worth(st.rung)
-			pays := changePays * float64(f.Ladder.Change) / d // time in which the step earns its cost
-			if f.life[st.plan] < pays || float64(f.now-st.changedAt) < pays {
+			gain, kb := f.stepUp(st)
+			if gain/kb <= most || f.fullness(s, kb*others) > f.mark(gain/kb)-upBelow {
 				continue
 			}
-			kb := f.streamKB(st, n) * (f.rate(st.plan, st.rung+1)/f.rate(st.plan, st.rung) - 1)
-			m := f.mark(st.plan, st.rung, st.rung+1, kb/float64(n), gain/float64(n))
-			if v := gain * d / kb; v > most && f.fullness(s, kb*others) <= m-upBelow {
-				pick, most = st, v
+			pays := changePays * float64(f.Ladder.Change) / (f.worth(st.rung+1) - f.worth(st.rung))
+			if f.life[st.plan] >= pays && float64(f.now-st.changedAt) >= pays { // the last one has earned its cost
+				pick, most = st, gain/kb
 			}
 		}
 		if pick == nil {
@@ -659,35 +627,20 @@
 	}
 }
 
-func (f *front) untaken(i int) (most float64) {
-	for _, st := range f.servers[i].streams {
-		n, gain := 0, 0.0
-		for _, pb := range st.members {
-			if pb.Top > st.rung {
-				n++
-				gain += f.revenue(pb)
-			}
-		}
-		if n == len(st.members) {
-			d := f.worth(st.rung+1) - f.worth(st.rung)
-			kb := f.streamKB(st, n) * (f.rate(st.plan, st.rung+1)/f.rate(st.plan, st.rung) - 1)
-			most = max(most, gain*d/kb)
-		}
-	}
-	return most
-}
-
 // Woken runs what comes with time.
 func (f *front) Woken(uint64) {
 	if f.now < f.wakeAt {
 		return
 	}
 	f.wakeAt = f.now + max(f.Fleet.NoteDelay/4, 1)
-	untaken := 0.0
+	most := least * f.best
 	for i := range f.servers {
-		untaken = max(untaken, f.untaken(i))
+		for _, st := range f.servers[i].streams {
+			gain, kb := f.stepUp(st)
+			most = max(most, min(gain/kb, f.best))
+		}
 	}
-	f.price += (max(min(untaken, f.best), least*f.best) - f.price) * follow
+	f.price += (most - f.price) * follow
 	for i := range f.servers {
 		f.raise(i)
 	}
@@ -696,19 +649,16 @@
 
 // probe asks the server that was heard of longest ago, within what probes may cost.
 func (f *front) probe() {
-	if !f.Terms.Probes || !f.Fleet.LoadInProbes {
-		return
-	}
-	for f.probes >= 1 {
-		stale := -1
+	for f.Terms.Probes && f.Fleet.LoadInProbes && f.probes >= 1 {
+		stale, since := -1, f.now
+		if f.Fleet.LoadInAnswers {
+			since -= f.Terms.WarmUp / 2
+		}
 		for i := range f.servers {
 			s := &f.servers[i]
 			heard := max(s.link.readAt, s.probedAt)
-			if s.entry.State != session.Ready || s.probeOut || f.Fleet.LoadInAnswers && f.now-heard < f.Terms.WarmUp/2 {
-				continue
-			}
-			if stale < 0 || heard < max(f.servers[stale].link.readAt, f.servers[stale].probedAt) {
-				stale = i
+			if s.entry.State == session.Ready && !s.probeOut && heard < since {
+				stale, since = i, heard
 			}
 		}
 		if stale < 0 {
@@ -728,24 +678,19 @@
 	for i := 0; i < len(f.dirty); i++ {
 		pb := f.dirty[i]
 		pb.dirty = false
-		if pb.gone {
+		switch pb.wantEnd {
+		case reject:
+			a.Reject(pb.Playback, f.Terms.MaxComeAgain)
+		case abort:
+			a.Abort(pb.Playback)
+		}
+		if pb.gone = pb.gone || pb.wantEnd != owed; pb.gone {
 			if !pb.out && f.pbs[pb.Playback] == pb {
 				f.pbs[pb.Playback] = nil
 				a.Forget(pb.Playback)
 			}
 			continue
 		}
-		switch {
-		case pb.wantEnd == reject:
-			a.Reject(pb.Playback, f.Terms.MaxComeAgain)
-		case pb.wantEnd == abort:
-			a.Abort(pb.Playback)
-		}
-		if pb.wantEnd != owed {
-			f.pbs[pb.Playback] = nil
-			a.Forget(pb.Playback)
-			continue
-		}
 		if pb.wantRung != pb.setRung {
 			pb.setRung = pb.wantRung
 			a.SetRung(pb.Playback, pb.wantRung)
--- a/policy/state.go
+++ b/policy/state.go
@@ -85,7 +85,8 @@
 		taken, extra    meter.Count
 		typical         float64 // setup time
 		life            []float64
-		price           float64
+		price           float64 // of room: what the best step left untaken earns for a kB
+		slowest         Time    // longest startup target
 		best            float64 // revenue for a kB at the densest floor
 		wakeAt, wokenAt Time
 		watchAt         Time // when to subscribe
@@ -94,8 +95,24 @@
 	}
 )
 
+func newFront(site *session.Site, seed uint64, now Time) *front {
+	f := &front{Site: site, seed: seed, started: now, now: now, racks: make([]gauge, site.Fleet.Racks),
+		seats: map[[2]int]int{}, tenants: make([]meter.Count, len(site.Tenants)),
+		life: make([]float64, len(site.Plans))}
+	for i := range f.racks {
+		f.racks[i] = f.gauge(site.Fleet.UplinkKB)
+	}
+	for i := range f.tenants {
+		f.tenants[i] = meter.NewCount(tenantSpan, buckets)
+	}
+	f.taken = meter.NewCount(site.Terms.TrySpan, buckets)
+	f.extra = meter.NewCount(site.Terms.TrySpan, buckets)
+	return f
+}
+
 func (f *front) gauge(kb float64) gauge {
-	return gauge{kb: kb, shortAt: never, steppedAt: never, past: meter.NewPast(f.Fleet.NoteDelay/buckets, history)}
+	past := meter.NewPast(f.Fleet.NoteDelay/buckets, history)
+	return gauge{kb: kb, shortAt: never, steppedAt: never, past: past}
 }
 
 func (f *front) worth(rung int) float64      { return f.Ladder.Worth[rung] }
@@ -239,3 +256,26 @@
 		f.seats[[2]int{pb.Plan, pb.Title}]--
 	}
 }
+
+// enter books a server's list entry, and what it carries at its rack.
+func (f *front) enter(s *server, e session.Entry) {
+	s.entry = e
+	if rack := e.Cell % f.Fleet.Racks; rack != s.rack {
+		f.racks[s.rack].add(f, -s.link.own)
+		f.racks[rack].add(f, s.link.own)
+		s.rack = rack
+	}
+}
+
+// playsAt books the rung of a playback taken over.
+func (f *front) playsAt(pb *playback, rung int) {
+	if rung < 0 || rung >= len(f.Ladder.RateKB) {
+		return
+	}
+	if st := pb.stream; st != nil && st.rung != rung {
+		f.detach(pb)
+		f.attach(pb, st.server, rung)
+		pb.stream.changedAt = never
+	}
+	pb.setRung, pb.wantRung = rung, rung
+}
