--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,7 +15,7 @@
 	brim       = 0.90 // the design's mark: a stream opens where it leaves the link under this
 	admit      = 0.86 // at the lowest rung a playback is still taken up to here
 	spare      = 0.50 // how much lower the mark lies for the rungs that earn least for their rate
-	shortAt    = 1.00 // from here on streams step down
+	shortAt    = 1.03 // from here on streams step down
 	relieved   = 0.97 // and go on until the link is asked so much
 	upBelow    = 0.04 // stepping up leaves so much more free than opening does
 	trust      = 0.50 // weight of a new reading against what was expected of it
