Short notes that tell of much more shortage than known count at once

It guards against links that shrink between two readings; it harms where notes lag far behind relief.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,6 +30,7 @@
 	makeRoom   = 0.65 // what stepping down may lose of what a playback earns that gets in so
 	least      = 0.30 // the price of room stays over this part of what the densest floor earns
 	follow     = 0.03 // and follows the best step left untaken so fast, a tick
+	knew       = 0.25
 	never      = math.MinInt64 / 4
 )
 
@@ -510,7 +511,7 @@
 		if f.racks[s.rack].fill(f) > g.fill(f) {
 			g, l = &f.racks[s.rack], session.Load{Uplink: l.Link, HasUplink: true}
 		}
-		if f.now-g.readAt < f.Fleet.NoteEvery {
+		if f.now-g.readAt < f.Fleet.NoteEvery && g.fill(f) > 1/n.Value-knew {
 			return // a nearer figure than this smoothed one is at hand
 		}
 		if over := g.fill(f) > 1; n.Value < 0.98 && (g.fill(f) < 1/n.Value || !over) || n.Value >= 0.98 && over {
