A manager just back takes links it has not heard of for 0.6 full

Guards also against a restart of the whole tier; harms for a moment where the fleet is really empty.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,7 +30,8 @@
 	makeRoom   = 0.65 // what stepping down may lose of what a playback earns that gets in so
 	least      = 0.30 // the price of room stays over this part of what the densest floor earns
 	follow     = 0.03 // and follows the best step left untaken so fast, a tick
-	knew       = 0.25
+	knew       = 0.25 // a short note that tells of so much more than was known counts at once
+	unheard    = 0.60 // fill of a link not heard of yet that a manager just back goes by, at the least
 	never      = math.MinInt64 / 4
 )
 
@@ -59,7 +60,11 @@
 // fill is what is asked of the link, in parts of what it gives.
 func (g *gauge) fill(f *front) float64 {
 	if !g.known {
-		return g.own * float64(f.Fronts) / g.kb
+		x := g.own * float64(f.Fronts) / g.kb
+		if f.fearedUntil != never { // just back: what it has says nothing of what the others have
+			x = max(x, unheard)
+		}
+		return x
 	}
 	return max(g.base+g.own/g.kb, g.own/g.kb*0.5)
 }
