--- a/policy/policy.go
+++ b/policy/policy.go
@@ -233,20 +233,30 @@
 	if run != nil && float64(len(run.members)) < f.goHome() {
 		return run.server, run.rung, true
 	}
-	if srv, rung = f.open(pb, true); srv >= 0 {
+	home, rung := f.open(pb, true)
+	if rung >= 0 {
 		if run != nil && f.Prices.CrossZone > f.Prices.Move {
 			for _, m := range run.members { // they come back as requests and join the local stream
 				m.wantMove = m.plays
 				f.touch(m)
 			}
 		}
-		return srv, rung, false
+		return home, rung, false
 	}
 	if run != nil {
 		return run.server, run.rung, true
 	}
-	srv, rung = f.open(pb, false)
-	return srv, rung, true
+	if srv, rung = f.open(pb, false); rung >= 0 {
+		return srv, rung, true
+	}
+	if home < 0 {
+		return -1, 0, false
+	}
+	f.makeRoom(pb, home)
+	if rung = f.openRung(pb, &f.servers[home]); rung < 0 {
+		return -1, 0, false
+	}
+	return home, rung, false
 }
 
 // goHome is the paper's mark 2(1-c)/c. Its c is the price of crossing zones against that and what the room
@@ -260,7 +270,7 @@
 	return 2 * (1 - c) / c
 }
 
-// open finds the roomiest holder of the zone, or of the others, and the rung for a new stream there.
+// open finds the roomiest holder of the zone, or of the others, and a new stream's rung there, -1 for none.
 func (f *front) open(pb *playback, local bool) (srv, rung int) {
 	srv = -1
 	var room float64
@@ -276,12 +286,13 @@
 			full += swing * f.chance()
 		}
 		if srv < 0 || full < room {
-			if r := f.openRung(pb, s); r >= 0 {
-				srv, rung, room = i, r, full
-			}
+			srv, room = i, full
 		}
 	}
-	return srv, rung
+	if srv < 0 {
+		return -1, -1
+	}
+	return srv, f.openRung(pb, &f.servers[srv])
 }
 
 // may keeps keyed plans within their scope once a try may have run.
@@ -318,12 +329,7 @@
 	seated := p.Seats == 0 || f.seats[key] < p.Seats
 	again := pb.tries == 0 || pb.tries < f.Terms.MaxTries && f.rationLeft()
 	if pb.Top >= p.Floor && seated && again && float64(left) > 2*f.typical && left > 0 {
-		srv, rung, remote := f.place(pb)
-		if srv < 0 {
-			f.makeRoom(pb)
-			srv, rung, remote = f.place(pb)
-		}
-		if srv >= 0 {
+		if srv, rung, remote := f.place(pb); srv >= 0 {
 			pb.wantServer, pb.wantRung = srv, rung
 			f.attach(pb, srv, rung)
 			if remote && len(pb.stream.members) == 1 {
@@ -571,19 +577,8 @@
 
 // makeRoom steps streams down where a playback would fit best, if it earns more in their place.
 // It guards against early viewers at high rungs starving those that come later.
-func (f *front) makeRoom(pb *playback) {
+func (f *front) makeRoom(pb *playback, best int) {
 	kb := f.rate(pb.Plan, f.Plans[pb.Plan].Floor)
-	best, room := -1, math.Inf(1)
-	for i := range f.servers {
-		if f.can(pb, i) && f.servers[i].entry.Zone == f.Zone {
-			if x := f.fullness(&f.servers[i], kb); x < room {
-				best, room = i, x
-			}
-		}
-	}
-	if best < 0 {
-		return
-	}
 	s := &f.servers[best]
 	k := &f.racks[s.rack]
 	most := makeRoom * f.revenue(pb) * f.worth(f.Plans[pb.Plan].Floor) / kb
