--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -26,7 +25,7 @@
 	doors, reply := map[uint16]*door{}, &simwire.Reply{}
 	for {
 		b, err := r.Next()
-		if errors.Is(err, io.EOF) && err == io.EOF {
+		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
@@ -166,7 +165,6 @@
 		m.Probed(d.server(e.Server), e.Outcome, simwire.Load(d.names, e.Values))
 		return nil
 	case simwire.EvPeer:
-		m.Told(e.Peer, e.Message)
 		return nil
 	}
 	pb, ok := d.playbacks[e.ID]
@@ -190,13 +188,10 @@
 }
 
 func (d *door) SetRung(pb, rung int)    { d.reply.SetRung(d.manager, d.ids[pb], rung) }
-func (d *door) Cancel(pb, try int)      { d.reply.Cancel(d.manager, d.ids[pb], try) }
 func (d *door) Abort(pb int)            { d.reply.Abort(d.manager, d.ids[pb]) }
 func (d *door) Move(pb int)             { d.reply.Move(d.manager, d.ids[pb]) }
 func (d *door) Probe(server int)        { d.reply.Probe(d.manager, d.serverIDs[server]) }
 func (d *door) Watch()                  { d.reply.Watch(d.manager) }
-func (d *door) FetchList()              { d.reply.FetchList(d.manager) }
-func (d *door) Tell(msg []byte)         { d.reply.Tell(d.manager, msg) }
 func (d *door) Wake(at int64, t uint64) { d.reply.Wake(d.manager, at, t) }
 
 func (d *door) Try(pb, server int, limit session.Time) {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -18,16 +18,14 @@
 	EvStart, EvList, EvRequest, EvPlaying, EvResult  = 1000, 1010, 1020, 1030, 1040
 	EvLeft, EvWake, EvProbed, EvPeer, EvStop, EvOpen = 1050, 1060, 1070, 1080, 1090, 1100
 	EvNote, evEntries                                = 1110, 1120
-	acCancel, acWake, acRung, acTell, acAbort        = 1010, 1020, 1030, 1040, 1050
+	acWake, acRung, acAbort                          = 1020, 1030, 1050
 	acProbe, acReject, acMove, acWatch, acTry        = 1060, 1070, 1080, 1090, 1100
-	acFetch                                          = 1120
 )
 
 const (
 	maxFrame    = 1 << 28
 	entrySize   = 24
 	listNumbers = 16
-	everyPeer   = 0xffff
 )
 
 // Server is a server's wire id.
@@ -53,8 +51,6 @@
 	Values   []float64 // load values in the settings' order
 	Request  session.Request
 	Note     session.Note
-	Peer     int
-	Message  []byte
 	Seed     uint64
 	Info     []byte
 	Entries  []Entry
@@ -145,27 +141,25 @@
 		e.Request.Tenant = int(c.u32())
 		e.Request.Plan = int(c.u8())
 		e.Request.Top = c.whole()
-		hint := c.time()
-		flags := c.u8()
+		c.time()
+		c.u8()
 		c.u64()
 		e.Request.Span = c.whole()
 		e.Request.Show = c.u64()
 		e.Request.Base = c.whole()
-		e.flags(flags, hint)
 	case EvOpen:
 		e.ID = c.u32()
 		e.Request.Top = c.whole()
-		flags := c.u8()
+		c.u8()
 		c.u64()
 		e.Request.Span = c.whole()
 		e.Request.Show = c.u64()
 		e.Request.Plan = int(c.u8())
 		e.Request.Base = c.whole()
 		e.Server = c.server()
-		hint := c.time()
+		c.time()
 		e.Request.Abandon = c.time()
 		e.Request.Tenant = int(c.u32())
-		e.flags(flags, hint)
 	case EvPlaying:
 		e.ID, e.Try, e.Server, e.Took = c.u32(), int(c.u16()), c.server(), c.time()
 	case EvResult:
@@ -183,8 +177,8 @@
 		e.Outcome = c.outcome()
 		e.Values = c.values()
 	case EvPeer:
-		e.Peer = int(c.u32())
-		e.Message = c.take(int(c.u16()))
+		c.u32() // nothing is made of messages between managers yet
+		c.take(int(c.u16()))
 	case EvNote:
 		e.ID, e.Try, e.Server = c.u32(), int(c.u16()), c.server()
 		e.Note.Kind, e.Note.Value = session.NoteKind(c.u8()), c.f32()
@@ -194,11 +188,8 @@
 	return e, c.err == nil
 }
 
-// The kinds of list and the bits of a request.
-const (
-	listCached, listFull, listFailed, listDelta = 0, 1, 2, 4
-	bitHint, bitMoved                           = 1, 8
-)
+// The kinds of list.
+const listCached, listFull, listFailed, listDelta = 0, 1, 2, 4
 
 // Whole tells whether an EvList names every server; Failed whether it reports a failed call.
 func (e *Event) Whole() bool { return e.ListKind == listFull || e.ListKind == listCached }
@@ -206,13 +197,6 @@
 // Failed tells whether an EvList reports a failed call.
 func (e *Event) Failed() bool { return e.ListKind == listFailed }
 
-func (e *Event) flags(bits uint8, hint session.Time) {
-	if bits&bitHint != 0 {
-		e.Request.Length = hint
-	}
-	e.Request.Moved = bits&bitMoved != 0
-}
-
 func (r *Reader) entries(c *cursor) {
 	number, n := c.u32(), int(c.u32())
 	if c.err == nil && (number >= listNumbers || n > len(c.b)/entrySize) {
@@ -367,12 +351,6 @@
 	r.buf = append(r.buf, byte(rung))
 }
 
-// Cancel withdraws a setup try.
-func (r *Reply) Cancel(manager uint16, id uint32, try int) {
-	r.id(acCancel, manager, id)
-	r.buf = binary.BigEndian.AppendUint16(r.buf, uint16(try))
-}
-
 // Reject refuses a playback.
 func (r *Reply) Reject(manager uint16, id uint32, comeAgain session.Time) {
 	r.id(acReject, manager, id)
@@ -404,17 +382,6 @@
 	r.buf = append(r.buf, 1)
 }
 
-// FetchList asks for the whole list.
-func (r *Reply) FetchList(manager uint16) { r.open(acFetch, manager) }
-
-// Tell sends a message to every other manager.
-func (r *Reply) Tell(manager uint16, msg []byte) {
-	r.open(acTell, manager)
-	r.buf = binary.BigEndian.AppendUint16(r.buf, everyPeer)
-	r.buf = binary.BigEndian.AppendUint16(r.buf, uint16(len(msg)))
-	r.buf = append(r.buf, msg...)
-}
-
 // Site decodes the settings of a START record, with the names of the load values in reports.
 func Site(info []byte) (*session.Site, []string, error) {
 	var w start
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -43,7 +43,7 @@
 		t.Fatalf("%+v, %v", b, err)
 	}
 	r := b.Events[0].Request
-	if b.Events[0].ID != 0x5d3a91c4 || r.Abandon != 8652250 || r.Top != 2 || r.Span != 3 || r.Length != 12000 ||
+	if b.Events[0].ID != 0x5d3a91c4 || r.Abandon != 8652250 || r.Top != 2 || r.Span != 3 ||
 		r.Show != 0x2b8e6401d9f37c10 {
 		t.Errorf("request %+v", b.Events[0])
 	}
@@ -108,7 +108,7 @@
 
 func TestSite(t *testing.T) {
 	s, names, err := Site([]byte(startInfo))
-	if err != nil || len(names) != 2 || s.Front != 1 || s.Plans[0].Startup != 1500000 || s.Plans[0].Top != 1 ||
+	if err != nil || len(names) != 2 || s.Plans[0].Startup != 1500000 || s.Plans[0].Top != 1 ||
 		s.Fleet.NoteDelay != 712078 || s.Terms.Rationed || s.Terms.MaxComeAgain != 500000 {
 		t.Errorf("%+v, %v", s, err)
 	}
--- a/internal/simwire/start.go
+++ b/internal/simwire/start.go
@@ -10,7 +10,6 @@
 // start is the settings object of a START record, as far as the decisions read it.
 type start struct {
 	Balancers int
-	SlotNo    int
 	Locality  int
 	Classes   []struct {
 		Effect, KeyScope       string
@@ -20,7 +19,7 @@
 	Customers []struct{ QuotaPerS float64 }
 	Domain    struct {
 		Cabinets, Positions               int
-		ChangeCostsS, Join, Stall         float64
+		ChangeCostsS, Join                float64
 		ClassTop, LowestRung, Seats       []int
 		IsLive                            []bool
 		KBPerWeight                       float64 `json:"kbPerWeight"`
@@ -32,7 +31,7 @@
 	Limits struct {
 		MaxAttempts   int
 		MaxRetryAfter float64
-		Peers, Probes bool
+		Probes        bool
 		RetryAfter    bool
 	}
 	LoadReport struct {
@@ -72,8 +71,8 @@
 		return nil, err
 	}
 	s := &session.Site{
-		Front: w.SlotNo, Fronts: w.Balancers, Zone: w.Locality, ListOnRequest: onRequest,
-		Ladder: session.Ladder{RateKB: d.LadderKb, Worth: d.LevelWorth, Join: d.Join, Stall: d.Stall,
+		Fronts: w.Balancers, Zone: w.Locality, ListOnRequest: onRequest,
+		Ladder: session.Ladder{RateKB: d.LadderKb, Worth: d.LevelWorth, Join: d.Join,
 			Change: micros(d.ChangeCostsS)},
 		Fleet: session.Fleet{Cells: d.Positions, Racks: d.Cabinets, LinksKB: d.LinksKb, UplinkKB: d.UplinkKb,
 			KBPerWeight: d.KBPerWeight, WeightsTold: w.WeightKind != "silent", Places: d.KindSlots,
@@ -82,7 +81,7 @@
 		Terms: session.Terms{ColdFrom: w.Rules.ColdFrom, WarmUp: micros(w.Rules.WarmUp),
 			FallMultiple: w.Rules.FallMultiple, FallSpan: micros(w.Rules.OverloadFor),
 			AskWithin: micros(w.Rules.AskWithin), MaxTries: w.Limits.MaxAttempts,
-			Probes: w.Limits.Probes, Peers: w.Limits.Peers},
+			Probes: w.Limits.Probes},
 		Prices: session.Prices{CrossZone: w.Prices.CrossZone, Move: w.Prices.Moves, Probe: w.Prices.Probe,
 			OverShare: w.OverShareWorth},
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -671,9 +671,6 @@
 	}
 }
 
-// Told takes a message from a peer; none is sent yet.
-func (f *front) Told(int, []byte) {}
-
 // Settle emits the difference between what is wanted and what is out.
 func (f *front) Settle(a session.Actions) {
 	for i := 0; i < len(f.dirty); i++ {
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -60,7 +60,6 @@
 	s.out[pb], s.at[pb] = true, server
 	s.act("try %d %d limit %.2f", pb, server, float64(limit)/1e6)
 }
-func (s *stage) Cancel(pb, try int) { s.act("cancel %d %d", pb, try) }
 func (s *stage) Reject(pb int, comeAgain Time) {
 	s.answer(pb)
 	s.act("reject %d %.2f", pb, float64(comeAgain)/1e6)
@@ -70,8 +69,6 @@
 func (s *stage) Probe(server int)       { s.act("probe %d", server) }
 func (s *stage) Wake(at Time, _ uint64) { s.wakes = append(s.wakes, at) }
 func (s *stage) Watch()                 { s.act("watch") }
-func (s *stage) FetchList()             { s.act("fetch") }
-func (s *stage) Tell([]byte)            { s.act("tell") }
 func (s *stage) Forget(pb int)          { s.act("forget %d", pb) }
 
 func stageSite() session.Site {
@@ -80,7 +77,7 @@
 	live.Live = true
 	return session.Site{Fronts: 2, Plans: []session.Plan{live, plan},
 		Ladder: session.Ladder{RateKB: []float64{100, 200, 400, 800}, Worth: []float64{.25, .5, .75, 1},
-			Join: .2, Stall: 7, Change: 5e5},
+			Join: .2, Change: 5e5},
 		Fleet: session.Fleet{Cells: 4, Racks: 2, LinksKB: 8000, UplinkKB: 8000, KBPerWeight: 2000, WeightsTold: true,
 			Places: []float64{24}, NoteDelay: 1e6, NoteEvery: 3e6, LoadInAnswers: true, LoadInProbes: true},
 		Terms: session.Terms{ColdFrom: .5, WarmUp: 12e6, FallMultiple: 2, FallSpan: 2e6, AskWithin: 10e6, MaxTries: 3,
--- a/session/session.go
+++ b/session/session.go
@@ -24,7 +24,6 @@
 	Woken(token uint64)
 	Probed(server int, o Outcome, load Load)
 	Noted(n Note)
-	Told(peer int, msg []byte)
 	Settle(a Actions)
 }
 
@@ -32,15 +31,12 @@
 type Actions interface {
 	SetRung(pb, rung int)
 	Try(pb, server int, limit Time) // a setup try; limit 0 lasts until the abandon time
-	Cancel(pb, try int)
-	Reject(pb int, comeAgain Time) // final; 0 advises nothing
-	Abort(pb int)                  // final
+	Reject(pb int, comeAgain Time)  // final; 0 advises nothing
+	Abort(pb int)                   // final
 	Move(pb int)
 	Probe(server int)
 	Wake(at Time, token uint64)
-	Watch()     // subscribe to the server list
-	FetchList() // ask for the whole list once
-	Tell(msg []byte)
+	Watch() // subscribe to the server list
 	Forget(pb int)
 }
 
@@ -51,8 +47,6 @@
 	Abandon                       Time   // clock time at which the client gives up this try
 	Top                           int    // highest rung that the viewer can use
 	Base, Span                    int    // the cells that hold the title: Span of them from Base on
-	Length                        Time   // rough expected length, 0 if unknown
-	Moved                         bool   // comes back from a Move
 }
 
 // Outcome is how a setup try, a playback or a probe ended.
@@ -171,7 +165,6 @@
 type Ladder struct {
 	RateKB, Worth []float64
 	Join          float64 // what a further viewer of a stream adds, in parts of its rate
-	Stall         float64 // points lost for each point of rate missing
 	Change        Time    // revenue time that a change of rung costs
 }
 
@@ -190,18 +183,18 @@
 
 // Terms are the figures of the six rules.
 type Terms struct {
-	ColdFrom      float64
-	WarmUp        Time
-	FallMultiple  float64
-	FallSpan      Time
-	AskWithin     Time
-	Rationed      bool // further tries are rationed
-	FreeTries     float64
-	TryShare      float64
-	TrySpan       Time
-	MaxTries      int
-	Probes, Peers bool
-	MaxComeAgain  Time // 0 where no advice is carried
+	ColdFrom     float64
+	WarmUp       Time
+	FallMultiple float64
+	FallSpan     Time
+	AskWithin    Time
+	Rationed     bool // further tries are rationed
+	FreeTries    float64
+	TryShare     float64
+	TrySpan      Time
+	MaxTries     int
+	Probes       bool
+	MaxComeAgain Time // 0 where no advice is carried
 }
 
 // Prices are parts of the whole result.
@@ -212,12 +205,12 @@
 
 // Site is what a front is told at its start.
 type Site struct {
-	Front, Fronts, Zone int
-	Plans               []Plan
-	Tenants             []Tenant
-	Ladder              Ladder
-	Fleet               Fleet
-	Terms               Terms
-	Prices              Prices
-	ListOnRequest       bool
+	Fronts, Zone  int
+	Plans         []Plan
+	Tenants       []Tenant
+	Ladder        Ladder
+	Fleet         Fleet
+	Terms         Terms
+	Prices        Prices
+	ListOnRequest bool
 }
