--- a/policy/policy.go
+++ b/policy/policy.go
@@ -141,11 +141,6 @@
 	if s.entry.State != session.Ready || f.now < s.shunUntil || s.trial && s.out > 0 {
 		return false
 	}
-	// Guards against silent servers: tries that have been out far longer than usual speak for themselves
-	// before the first of them times out. It harms where set-ups slow down everywhere at once.
-	if s.out > 0 && f.typical > 0 && float64(f.now-s.oldest) > 5*f.typical {
-		return false
-	}
 	// A manager that has just come back cannot know which servers are cold, unless it was handed playbacks.
 	if f.now < max(s.coldUntil, f.fearedUntil) {
 		return s.cold.Most(f.now)+1 <= f.coldBudget(s)
@@ -400,7 +395,6 @@
 func (f *front) answered(srv int, well bool) {
 	s := f.server(srv)
 	s.out = max(s.out-1, 0)
-	s.oldest = f.now
 	if well {
 		if s.trial { // it may have restarted unseen; its list entry may still be on the way
 			s.trial = false
--- a/policy/state.go
+++ b/policy/state.go
@@ -30,8 +30,7 @@
 		rack      int
 		link      gauge
 		streams   []*stream
-		out       int  // setup tries out
-		oldest    Time // when the oldest of them was sent, as far as known
+		out       int // setup tries out
 		strikes   int
 		shunUntil Time
 		trial     bool // one try at a time until one succeeds
@@ -239,9 +238,6 @@
 // hold books a setup try, with its seat.
 func (f *front) hold(pb *playback, srv int) {
 	s := f.server(srv)
-	if s.out == 0 {
-		s.oldest = f.now
-	}
 	s.out++
 	pb.seated = true
 	f.seats[[2]int{pb.Plan, pb.Title}]++
