A manager just back takes every server for as cold as it can be

Cause found by breaking the guard on purpose: the budget of a server not known to be cold was counted as if warm.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -126,7 +126,7 @@
 // coldBudget is this front's share of what a cold server takes within the span of the rule.
 func (f *front) coldBudget(s *server) float64 {
 	t := &f.Terms
-	warmth := 1 - (1-t.ColdFrom)*float64(s.coldUntil-f.now)/float64(t.WarmUp)
+	warmth := 1 - (1-t.ColdFrom)*float64(max(s.coldUntil, f.fearedUntil)-f.now)/float64(t.WarmUp)
 	b := f.Fleet.Places[s.entry.Kind] / float64(t.WarmUp) * float64(t.FallSpan) * t.FallMultiple
 	b *= coldShare * min(max(warmth, t.ColdFrom), 1) / float64(f.Fronts)
 	if !s.coldTold {
