--- a/policy/policy.go
+++ b/policy/policy.go
@@ -12,27 +12,28 @@
 
 // Tuned values; each is a share or a multiple of something that the site tells.
 const (
-	brim       = 0.90 // the design's mark: a stream opens where it leaves the link under this
-	admit      = 0.86 // at the lowest rung a playback is still taken up to here
-	spare      = 0.50 // how much lower the mark lies for the rungs that earn least for their rate
-	shortAt    = 1.03 // from here on streams step down
-	relieved   = 0.97 // and go on until the link is asked so much
-	upBelow    = 0.04 // stepping up leaves so much more free than opening does
-	trust      = 0.50 // weight of a new reading against what was expected of it
-	gather     = 0.10 // the same for live titles, but equal at all fronts
-	swing      = 0.04 // chance added to the fill, so that fronts do not all pick the same server
-	probeSpend = 0.01 // probes may cost this part of the whole result
-	coldShare  = 0.75 // of the cold budget, for the unknown shape of the ramp
-	changePays = 2.0  // a step up must earn its cost so many times
-	buckets    = 8    // of a ring's span
-	history    = 32   // buckets of a gauge's own past
-	tenantSpan = 10 * session.Second
-	makeRoom   = 0.65 // what stepping down may lose of what a playback earns that gets in so
-	least      = 0.30 // the price of room stays over this part of what the densest floor earns
-	follow     = 0.03 // and follows the best step left untaken so fast, a tick
-	knew       = 0.25 // a short note that tells of so much more than was known counts at once
-	unheard    = 0.60 // fill of a link not heard of yet that a manager just back goes by, at the least
-	never      = math.MinInt64 / 4
+	brim       = 0.90                // the design's mark: a stream opens where it leaves the link under this
+	admit      = 0.86                // at the lowest rung a playback is still taken up to here
+	spare      = 0.50                // how much lower the mark lies for the rungs that earn least for their rate
+	shortAt    = 1.03                // from here on streams step down
+	relieved   = 0.97                // and go on until the link is asked so much
+	upBelow    = 0.04                // stepping up leaves so much more free than opening does
+	trust      = 0.50                // weight of a new reading against what was expected of it
+	swing      = 0.04                // chance added to the fill, so that fronts do not all pick the same server
+	gather     = 0.10                // the same for live titles, but equal at all fronts
+	atLeast    = 0.50                // of what a front's own streams ask by told figures counts at the least
+	probeSpend = 0.01                // probes may cost this part of the whole result
+	coldShare  = 0.75                // of the cold budget, for the unknown shape of the ramp
+	changePays = 2.0                 // a step up must earn its cost so many times
+	buckets    = 8                   // of a ring's span
+	history    = 32                  // buckets of a gauge's own past
+	tenantSpan = 10 * session.Second // over which a tenant's rate is held against its share
+	makeRoom   = 0.65                // what stepping down may lose of what a playback earns that gets in so
+	least      = 0.30                // the price of room stays over this part of what the densest floor earns
+	follow     = 0.03                // and follows the best step left untaken so fast, a tick
+	knew       = 0.25                // a short note that tells of so much more than was known counts at once
+	unheard    = 0.60                // fill of a link not heard of, to a manager just back, at the least
+	never      = math.MinInt64 / 4   // a moment long before any clock
 )
 
 const (
@@ -66,7 +67,7 @@
 		}
 		return x
 	}
-	return max(g.base+g.own/g.kb, g.own/g.kb*0.5)
+	return max(g.base+g.own/g.kb, g.own/g.kb*atLeast)
 }
 
 // read takes a reading of the fill as it was at a moment past.
@@ -116,9 +117,9 @@
 	}
 	for i := range f.servers {
 		s := &f.servers[i]
-		s.link.kb = s.entry.Weight * f.Fleet.KBPerWeight
-		if !f.Fleet.WeightsTold {
-			s.link.kb = f.Fleet.LinksKB * f.Fleet.Places[s.entry.Kind] / places
+		s.link.kb = f.Fleet.LinksKB * f.Fleet.Places[s.entry.Kind] / places
+		if told := s.entry.Weight * f.Fleet.KBPerWeight; f.Fleet.WeightsTold && told > 0 {
+			s.link.kb = told
 		}
 	}
 }
@@ -217,7 +218,8 @@
 			kb := f.rate(pb.Plan, st.rung) * f.Ladder.Join
 			full := f.fullness(s, kb)
 			if full <= f.mark(f.worth(st.rung)*f.revenue(pb)/kb) &&
-				(run == nil || st.rung > run.rung || st.rung == run.rung && full < room) {
+				(run == nil || run.opened && !st.opened || run.opened == st.opened &&
+					(st.rung > run.rung || st.rung == run.rung && full < room)) {
 				run, room = st, full
 			}
 		}
@@ -309,9 +311,7 @@
 	if pb.Tenant < len(f.tenants) {
 		f.tenants[pb.Tenant].Add(f.now, 1)
 	}
-	if f.Prices.Probe > 0 {
-		f.probes = min(f.probes+probeSpend/f.Prices.Probe, float64(len(f.servers)))
-	}
+	f.probes = min(f.probes+probeSpend/max(f.Prices.Probe, probeSpend/2), float64(len(f.servers)))
 	f.decide(pb)
 }
 
