--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,6 +33,9 @@
 	follow     = 0.03                // and follows the best step left untaken so fast, a tick
 	knew       = 0.25                // a short note that tells of so much more than was known counts at once
 	unheard    = 0.60                // fill of a link not heard of, to a manager just back, at the least
+	shows      = 2                   // note delays until a step shows in the readings
+	hush       = 6                   // note delays without a shortage before steps up
+	served     = 0.98                // share of its rate from which a playback loses nothing
 	never      = math.MinInt64 / 4   // a moment long before any clock
 )
 
@@ -519,7 +522,7 @@
 		if f.now-g.readAt < f.Fleet.NoteEvery && g.fill(f) > 1/n.Value-knew {
 			return // a nearer figure than this smoothed one is at hand
 		}
-		if over := g.fill(f) > 1; n.Value < 0.98 && (g.fill(f) < 1/n.Value || !over) || n.Value >= 0.98 && over {
+		if known := g.fill(f); n.Value < served && known < 1/n.Value || n.Value >= served && known > 1 {
 			f.loaded(n.Server, l, then)
 		}
 	}
@@ -533,7 +536,7 @@
 		return
 	}
 	g.shortAt = f.now
-	if f.now-g.steppedAt < 2*f.Fleet.NoteDelay {
+	if f.now-g.steppedAt < shows*f.Fleet.NoteDelay {
 		return // what was stepped down is not in the readings yet
 	}
 	f.shed(g, behind, (x-relieved)/x*g.own, math.Inf(1))
@@ -549,7 +552,7 @@
 				continue
 			}
 			for _, st := range f.servers[i].streams {
-				if st.rung <= f.Plans[st.plan].Floor || f.now-st.changedAt < 2*f.Fleet.NoteDelay {
+				if st.rung <= f.Plans[st.plan].Floor || f.now-st.changedAt < shows*f.Fleet.NoteDelay {
 					continue
 				}
 				lost := (f.worth(st.rung) - f.worth(st.rung-1)) * f.Plans[st.plan].Revenue * float64(len(st.members))
@@ -596,8 +599,8 @@
 	s := &f.servers[i]
 	k := &f.racks[s.rack]
 	if s.entry.State != session.Ready || !s.link.known || f.now < max(s.shunUntil, s.coldUntil) ||
-		f.now-max(s.link.shortAt, k.shortAt) < 6*f.Fleet.NoteDelay ||
-		f.now-max(s.link.steppedAt, k.steppedAt) < 2*f.Fleet.NoteDelay {
+		f.now-max(s.link.shortAt, k.shortAt) < hush*f.Fleet.NoteDelay ||
+		f.now-max(s.link.steppedAt, k.steppedAt) < shows*f.Fleet.NoteDelay {
 		return
 	}
 	for others := 1.0; ; others = float64(f.Fronts) {
