Unheard links are taken at the usual fill, readings fade to it; first probes are earned

Now what others ask of a link is its reading, fading by playback life to the mean of what is heard of all such links. Guards against any way of hearing of few servers; it harms where links differ much and are heard of rarely.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,6 +19,7 @@
 	relieved   = 0.97                // and go on until the link is asked so much
 	upBelow    = 0.04                // stepping up leaves so much more free than opening does
 	trust      = 0.50                // weight of a new reading against what was expected of it
+	blend      = 0.05                // weight of one reading in what is usual of such links
 	swing      = 0.04                // chance added to the fill, so that fronts do not all pick the same server
 	gather     = 0.10                // the same for live titles, but equal at all fronts
 	atLeast    = 0.50                // of what a front's own streams ask by told figures counts at the least
@@ -61,25 +62,39 @@
 	return f
 }
 
-// fill is what is asked of the link, in parts of what it gives.
+// fill is what is asked of the link, in parts of what it gives. What the others ask is the latest reading,
+// which fades to what is usual as their playbacks end; of a link not heard of it is the usual.
 func (g *gauge) fill(f *front) float64 {
+	w := g.fresh(f)
+	return max(g.base*w+g.usual.fill(f)*(1-w)+g.own/g.kb, g.own/g.kb*atLeast)
+}
+
+// fresh is how much the last reading still tells.
+func (g *gauge) fresh(f *front) float64 {
 	if !g.known {
-		x := g.own * float64(f.Fronts) / g.kb
-		if f.fearedUntil != never { // just back: what it has says nothing of what the others have
-			x = max(x, unheard)
-		}
-		return x
+		return 0
+	}
+	return f.life[0] / (f.life[0] + float64(f.now-g.readAt))
+}
+
+// fill is the mean of what others ask of such links; before it is heard of they are taken to be like this
+// front, but one just back cannot tell from what it has.
+func (u *usual) fill(f *front) float64 {
+	switch {
+	case u.known:
+		return u.mean
+	case f.fearedUntil != never:
+		return unheard
 	}
-	return max(g.base+g.own/g.kb, g.own/g.kb*atLeast)
+	return u.own * float64(f.Fronts-1) / u.kb
 }
 
 // read takes a reading of the fill as it was at a moment past.
 func (g *gauge) read(f *front, x float64, asOf Time) {
-	base := x - g.past.At(f.now, asOf)/g.kb
-	if g.known {
-		base = trust*base + (1-trust)*g.base
-	}
-	g.base, g.known, g.readAt = base, true, f.now
+	w, u := (1-trust)*g.fresh(f), g.usual
+	x -= g.past.At(f.now, asOf) / g.kb
+	u.mean, u.known = u.fill(f)+(x-u.fill(f))*blend, true
+	g.base, g.known, g.readAt = (1-w)*x+w*g.base, true, f.now
 }
 
 func (f *front) At(now Time) { f.now = now }
@@ -111,9 +126,6 @@
 			}
 		}
 	}
-	if f.now == f.started && !f.Fleet.LoadInAnswers {
-		f.probes = float64(len(l.Entries)) // a first look at all
-	}
 	places := 0.0
 	for i := range f.servers {
 		places += f.Fleet.Places[f.servers[i].entry.Kind]
@@ -314,10 +326,15 @@
 	if pb.Tenant < len(f.tenants) {
 		f.tenants[pb.Tenant].Add(f.now, 1)
 	}
-	f.probes = min(f.probes+probeSpend/max(f.Prices.Probe, probeSpend/2), float64(len(f.servers)))
+	f.earnProbes()
 	f.decide(pb)
 }
 
+// earnProbes lets probes cost their part of what each playback earns.
+func (f *front) earnProbes() {
+	f.probes = min(f.probes+probeSpend/max(f.Prices.Probe, probeSpend/2), float64(len(f.servers)))
+}
+
 // decide sends a playback that has no try out, or answers it.
 func (f *front) decide(pb *playback) {
 	f.touch(pb)
@@ -378,6 +395,7 @@
 	pb.wantRung, pb.stream.changedAt, f.fearedUntil = pb.setRung, never, never
 	f.hold(pb, srv)
 	f.answered(srv, true)
+	f.earnProbes()
 }
 
 // Playing learns that a set-up has succeeded.
@@ -546,7 +564,7 @@
 func (f *front) shed(g *gauge, behind func(srv int) bool, need, most float64) {
 	for need > 0 {
 		var worst *stream
-		least := most
+		least, frees := most, 0.0
 		for i := range f.servers {
 			if !behind(i) {
 				continue
@@ -558,16 +576,15 @@
 				lost := (f.worth(st.rung) - f.worth(st.rung-1)) * f.Plans[st.plan].Revenue * float64(len(st.members))
 				freed := f.streamKB(st, len(st.members)) * (1 - f.rate(st.plan, st.rung-1)/f.rate(st.plan, st.rung))
 				if lost/freed < least {
-					worst, least = st, lost/freed
+					worst, least, frees = st, lost/freed, freed
 				}
 			}
 		}
 		if worst == nil {
 			return
 		}
-		before := g.own
 		f.step(worst, worst.rung-1)
-		need -= max(before-g.own, 1)
+		need -= frees
 		g.steppedAt = f.now
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -18,6 +18,7 @@
 	// since the moment that the reading is of.
 	gauge struct {
 		kb, own, base float64
+		usual         *usual
 		known         bool
 		readAt        Time
 		shortAt       Time // last found short
@@ -25,6 +26,12 @@
 		past          meter.Past
 	}
 
+	// usual is what others ask of links, or uplinks, as a rule.
+	usual struct {
+		kb, own, mean float64
+		known         bool
+	}
+
 	server struct {
 		entry     session.Entry
 		rack      int
@@ -77,6 +84,7 @@
 		fearedUntil     Time // any server may be cold
 		servers         []server
 		racks           []gauge
+		links, uplinks  usual
 		pbs             []*playback
 		dirty           []*playback
 		seats           map[[2]int]int
@@ -98,8 +106,9 @@
 	f := &front{Site: site, seed: seed, started: now, now: now, racks: make([]gauge, site.Fleet.Racks),
 		seats: map[[2]int]int{}, tenants: make([]meter.Count, len(site.Tenants)),
 		life: make([]float64, len(site.Plans))}
+	f.links.kb, f.uplinks.kb = site.Fleet.LinksKB, site.Fleet.UplinkKB*float64(site.Fleet.Racks)
 	for i := range f.racks {
-		f.racks[i] = f.gauge(site.Fleet.UplinkKB)
+		f.racks[i] = f.gauge(site.Fleet.UplinkKB, &f.uplinks)
 	}
 	for i := range f.tenants {
 		f.tenants[i] = meter.NewCount(tenantSpan, buckets)
@@ -109,9 +118,9 @@
 	return f
 }
 
-func (f *front) gauge(kb float64) gauge {
+func (f *front) gauge(kb float64, u *usual) gauge {
 	past := meter.NewPast(f.Fleet.NoteDelay/buckets, history)
-	return gauge{kb: kb, shortAt: never, steppedAt: never, past: past}
+	return gauge{kb: kb, usual: u, shortAt: never, steppedAt: never, past: past}
 }
 
 func (f *front) worth(rung int) float64      { return f.Ladder.Worth[rung] }
@@ -134,13 +143,14 @@
 
 func (g *gauge) add(f *front, kb float64) {
 	g.own += kb
+	g.usual.own += kb
 	g.past.Set(f.now, g.own)
 }
 
 func (f *front) server(i int) *server {
 	for len(f.servers) <= i {
 		f.servers = append(f.servers, server{cold: meter.NewCount(f.Terms.FallSpan, buckets),
-			link: f.gauge(f.Fleet.LinksKB / float64(f.Fleet.Cells))})
+			link: f.gauge(f.Fleet.LinksKB/float64(f.Fleet.Cells), &f.links)})
 	}
 	return &f.servers[i]
 }
