Look before opening where load comes only with probes; idle parts out

A playback now waits for a probe of the server chosen, and probes in turn go first to servers with own playbacks. Live titles lean more to the same holders (gather 0.10 to 0.30), first readings count more in the usual fill, and a Full answer reads the link as full anywhere.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,16 +20,15 @@
 	upBelow    = 0.04                // stepping up leaves so much more free than opening does
 	trust      = 0.50                // weight of a new reading against what was expected of it
 	blend      = 0.05                // weight of one reading in what is usual of such links
-	swing      = 0.04                // chance added to the fill, so that fronts do not all pick the same server
-	gather     = 0.10                // the same for live titles, but equal at all fronts
-	atLeast    = 0.50                // of what a front's own streams ask by told figures counts at the least
+	swing      = 0.08                // chance added to the fill, so that fronts do not all pick the same server
+	gather     = 0.30                // the same for live titles, but equal at all fronts
 	probeSpend = 0.01                // probes may cost this part of the whole result
+	ownFirst   = 8                   // a server with own playbacks is probed so many times as often as others
 	coldShare  = 0.75                // of the cold budget, for the unknown shape of the ramp
 	changePays = 2.0                 // a step up must earn its cost so many times
 	buckets    = 8                   // of a ring's span
 	history    = 32                  // buckets of a gauge's own past
 	tenantSpan = 10 * session.Second // over which a tenant's rate is held against its share
-	makeRoom   = 0.65                // what stepping down may lose of what a playback earns that gets in so
 	least      = 0.30                // the price of room stays over this part of what the densest floor earns
 	follow     = 0.03                // and follows the best step left untaken so fast, a tick
 	knew       = 0.25                // a short note that tells of so much more than was known counts at once
@@ -66,7 +65,7 @@
 // which fades to what is usual as their playbacks end; of a link not heard of it is the usual.
 func (g *gauge) fill(f *front) float64 {
 	w := g.fresh(f)
-	return max(g.base*w+g.usual.fill(f)*(1-w)+g.own/g.kb, g.own/g.kb*atLeast)
+	return max(g.base*w+g.usual.fill(f)*(1-w), 0) + g.own/g.kb
 }
 
 // fresh is how much the last reading still tells.
@@ -78,22 +77,24 @@
 }
 
 // fill is the mean of what others ask of such links; before it is heard of they are taken to be like this
-// front, but one just back cannot tell from what it has.
+// front, within limits, as one of many has few playbacks or, just back, none.
 func (u *usual) fill(f *front) float64 {
-	switch {
-	case u.known:
+	if u.heard > 0 {
 		return u.mean
-	case f.fearedUntil != never:
-		return unheard
 	}
-	return u.own * float64(f.Fronts-1) / u.kb
+	x := u.own * float64(f.Fronts-1) / u.kb
+	if f.fearedUntil != never {
+		x = unheard
+	}
+	return min(x, unheard)
 }
 
 // read takes a reading of the fill as it was at a moment past.
 func (g *gauge) read(f *front, x float64, asOf Time) {
 	w, u := (1-trust)*g.fresh(f), g.usual
 	x -= g.past.At(f.now, asOf) / g.kb
-	u.mean, u.known = u.fill(f)+(x-u.fill(f))*blend, true
+	u.mean = u.fill(f) + (x-u.fill(f))*max(blend, 1/(2+u.heard))
+	u.heard++
 	g.base, g.known, g.readAt = (1-w)*x+w*g.base, true, f.now
 }
 
@@ -261,14 +262,7 @@
 	if srv, rung = f.open(pb, false); rung >= 0 {
 		return srv, rung, true
 	}
-	if home < 0 {
-		return -1, 0, false
-	}
-	f.makeRoom(pb, home)
-	if rung = f.openRung(pb, &f.servers[home]); rung < 0 {
-		return -1, 0, false
-	}
-	return home, rung, false
+	return -1, 0, false
 }
 
 // goHome is the paper's mark 2(1-c)/c. Its c is the price of crossing zones against that and what the room
@@ -344,7 +338,11 @@
 	seated := p.Seats == 0 || f.seats[key] < p.Seats
 	again := pb.tries == 0 || pb.tries < f.Terms.MaxTries && f.rationLeft()
 	if pb.Top >= p.Floor && seated && again && float64(left) > 2*f.typical && left > 0 {
-		if srv, rung, remote := f.place(pb); srv >= 0 {
+		srv, rung, remote := f.place(pb)
+		if srv >= 0 && f.look(pb, srv) {
+			return
+		}
+		if srv >= 0 {
 			pb.wantServer, pb.wantRung = srv, rung
 			f.attach(pb, srv, rung)
 			if remote && len(pb.stream.members) == 1 {
@@ -367,6 +365,43 @@
 	}
 }
 
+// look holds a playback back for a probe of the server chosen, where load is told no other way: the rung to
+// open at depends on it. Only servers not heard of since their load may have changed are worth it.
+func (f *front) look(pb *playback, srv int) bool {
+	s := &f.servers[srv]
+	if !f.probing() || pb.looked || f.now-s.link.readAt < f.Fleet.NoteDelay || f.now+f.slowest > pb.Abandon {
+		return false
+	}
+	pb.looked = true
+	s.waiting = append(s.waiting, pb)
+	f.ask(srv)
+	return true
+}
+
+// seen decides on the playbacks that wait for a look at a server.
+func (f *front) seen(s *server) {
+	waiting := s.waiting
+	s.waiting = nil
+	for _, pb := range waiting {
+		if !pb.gone {
+			f.decide(pb)
+		}
+	}
+}
+
+// probing tells whether probes are the only word of load, and one can be paid for.
+func (f *front) probing() bool {
+	return f.Terms.Probes && f.Fleet.LoadInProbes && !f.Fleet.LoadInAnswers && f.probes >= 1
+}
+
+func (f *front) ask(i int) {
+	if s := &f.servers[i]; !s.probeOut {
+		s.probeOut, s.probedAt = true, f.now
+		f.probes--
+		f.wantProbes = append(f.wantProbes, i)
+	}
+}
+
 func (f *front) rationLeft() bool {
 	t := &f.Terms
 	return !t.Rationed || f.extra.Most(f.now)+1 <= t.FreeTries+t.TryShare*f.taken.Least(f.now)
@@ -450,9 +485,7 @@
 	case session.Failed, session.TimedOut, session.NoConnection, session.Reset:
 		f.strike(r.Server)
 	case session.Full:
-		if f.Fleet.FullFrom > 0 {
-			f.server(r.Server).link.read(f, max(f.Fleet.FullFrom, f.server(r.Server).link.fill(f)), f.now)
-		}
+		f.server(r.Server).link.read(f, max(f.Fleet.FullFrom, f.server(r.Server).link.fill(f)), f.now)
 	}
 	if pb.plays {
 		if r.Outcome == session.OK {
@@ -515,6 +548,7 @@
 	} else if s.entry.State == session.Ready && o != session.Full {
 		f.strike(srv)
 	}
+	f.seen(s)
 }
 
 // Noted takes news on a playback.
@@ -557,14 +591,9 @@
 	if f.now-g.steppedAt < shows*f.Fleet.NoteDelay {
 		return // what was stepped down is not in the readings yet
 	}
-	f.shed(g, behind, (x-relieved)/x*g.own, math.Inf(1))
-}
-
-// shed steps streams down until so much is freed, as long as that loses less for the rate than most.
-func (f *front) shed(g *gauge, behind func(srv int) bool, need, most float64) {
-	for need > 0 {
+	for need := (x - relieved) / x * g.own; need > 0; {
 		var worst *stream
-		least, frees := most, 0.0
+		least, frees := math.Inf(1), 0.0
 		for i := range f.servers {
 			if !behind(i) {
 				continue
@@ -589,17 +618,6 @@
 	}
 }
 
-// makeRoom steps streams down where a playback would fit best, if it earns more in their place.
-// It guards against early viewers at high rungs starving those that come later.
-func (f *front) makeRoom(pb *playback, best int) {
-	kb := f.rate(pb.Plan, f.Plans[pb.Plan].Floor)
-	s := &f.servers[best]
-	k := &f.racks[s.rack]
-	most := makeRoom * f.revenue(pb) * f.worth(f.Plans[pb.Plan].Floor) / kb
-	f.shed(&s.link, func(x int) bool { return x == best }, (s.link.fill(f)-admit)*s.link.kb+kb, most)
-	f.shed(k, func(x int) bool { return f.servers[x].rack == s.rack }, (k.fill(f)-admit)*k.kb+kb, most)
-}
-
 // stepUp is what a stream's next rung earns and asks more; nothing unless all its viewers can take it.
 func (f *front) stepUp(st *stream) (gain, kb float64) {
 	for _, pb := range st.members {
@@ -630,7 +648,7 @@
 				continue
 			}
 			pays := changePays * float64(f.Ladder.Change) / (f.worth(st.rung+1) - f.worth(st.rung))
-			if f.life[st.plan] >= pays && float64(f.now-st.changedAt) >= pays { // the last one has earned its cost
+			if float64(f.now-st.changedAt) >= pays { // the last one has earned its cost
 				pick, most = st, gain/kb
 			}
 		}
@@ -658,30 +676,32 @@
 	f.price += (most - f.price) * follow
 	for i := range f.servers {
 		f.raise(i)
+		if s := &f.servers[i]; len(s.waiting) > 0 && f.now-s.probedAt > f.slowest/4 {
+			f.seen(s) // the look takes too long
+		}
 	}
 	f.probe()
 }
 
-// probe asks the server that was heard of longest ago, within what probes may cost.
+// probe asks the server that was heard of longest ago, where load comes no other way, within what probes may
+// cost. Servers with own playbacks come first: their streams can step.
 func (f *front) probe() {
-	for f.Terms.Probes && f.Fleet.LoadInProbes && f.probes >= 1 {
-		stale, since := -1, f.now
-		if f.Fleet.LoadInAnswers {
-			since -= f.Terms.WarmUp / 2
-		}
+	for f.probing() {
+		stale, most := -1, Time(0)
 		for i := range f.servers {
 			s := &f.servers[i]
-			heard := max(s.link.readAt, s.probedAt)
-			if s.entry.State == session.Ready && !s.probeOut && heard < since {
-				stale, since = i, heard
+			age := f.now - max(s.link.readAt, s.probedAt)
+			if len(s.streams) > 0 {
+				age *= ownFirst
+			}
+			if s.entry.State == session.Ready && !s.probeOut && age > most {
+				stale, most = i, age
 			}
 		}
 		if stale < 0 {
 			return
 		}
-		f.servers[stale].probeOut, f.servers[stale].probedAt = true, f.now
-		f.probes--
-		f.wantProbes = append(f.wantProbes, stale)
+		f.ask(stale)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -28,8 +28,7 @@
 
 	// usual is what others ask of links, or uplinks, as a rule.
 	usual struct {
-		kb, own, mean float64
-		known         bool
+		kb, own, mean, heard float64
 	}
 
 	server struct {
@@ -45,6 +44,7 @@
 		coldTold  bool // by the list; otherwise only feared
 		cold      meter.Count
 		probeOut  bool
+		waiting   []*playback // for the probe's answer
 		probedAt  Time
 	}
 
@@ -68,6 +68,7 @@
 		seated     bool
 		gone       bool
 		dirty      bool
+		looked     bool
 		// wanted against present
 		wantServer, wantRung, setRung int
 		limit                         Time
