Live streams open at the rung that their seen viewers pay for; cold set-ups dealt in turns

Cause: a live title's opener took the step's cost at a joiner's part, as if most viewers were still to join. Among hundreds of managers each sees one or two of them, so live titles opened at the top rungs and overfilled links in the first seconds. Now the cost is that of as many viewers as this front has on its live streams in the mean; a front that sees many behaves as before. A restarted server is taken for empty, and where the share of its cold budget is under one set-up the managers take turns on it.

--- a/internal/simwire/start.go
+++ b/internal/simwire/start.go
@@ -10,6 +10,7 @@
 // start is the settings object of a START record, as far as the decisions read it.
 type start struct {
 	Balancers int
+	SlotNo    int
 	Locality  int
 	Classes   []struct {
 		Effect, KeyScope       string
@@ -71,7 +72,7 @@
 		return nil, err
 	}
 	s := &session.Site{
-		Fronts: w.Balancers, Zone: w.Locality, ListOnRequest: onRequest,
+		Fronts: w.Balancers, Front: w.SlotNo, Zone: w.Locality, ListOnRequest: onRequest,
 		Ladder: session.Ladder{RateKB: d.LadderKb, Worth: d.LevelWorth, Join: d.Join,
 			Change: micros(d.ChangeCostsS)},
 		Fleet: session.Fleet{Cells: d.Positions, Racks: d.Cabinets, LinksKB: d.LinksKb, UplinkKB: d.UplinkKb,
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -121,7 +121,7 @@
 			// a restart: what was known of the process is void, and all managers hear of it at once
 			s.coldUntil, s.coldTold = e.Started+f.Terms.WarmUp, true
 			s.shunUntil, s.strikes, s.trial = 0, 0, false
-			s.link.known = false
+			s.link.base, s.link.known, s.link.readAt = 0, true, f.now // it comes back empty
 			if f.now-f.started < f.Terms.FallSpan {
 				s.cold.Add(f.now, f.coldBudget(s)) // just back: what it sent before is forgotten
 			}
@@ -140,14 +140,20 @@
 	}
 }
 
-// coldBudget is this front's share of what a cold server takes within the span of the rule.
+// coldBudget is this front's share of what a cold server takes within the span of the rule. Where that is less
+// than one set-up the fronts take turns, counted from the server's told start: so the whole goes to one of
+// them, and the first half of a turn only, for clocks and windows that do not agree.
 func (f *front) coldBudget(s *server) float64 {
 	t := &f.Terms
 	warmth := 1 - (1-t.ColdFrom)*float64(max(s.coldUntil, f.fearedUntil)-f.now)/float64(t.WarmUp)
-	b := f.Fleet.Places[s.entry.Kind] / float64(t.WarmUp) * float64(t.FallSpan) * t.FallMultiple
-	b *= coldShare * min(max(warmth, t.ColdFrom), 1) / float64(f.Fronts)
-	if !s.coldTold {
-		b = max(b, 1)
+	all := coldShare * f.Fleet.Places[s.entry.Kind] / float64(t.WarmUp) * float64(t.FallSpan) * t.FallMultiple
+	b := all * min(max(warmth, t.ColdFrom), 1) / float64(f.Fronts)
+	if b >= 1 || !s.coldTold {
+		return max(b, 1)
+	}
+	turn := float64(f.now-s.entry.Started) / float64(t.FallSpan) * max(all*t.ColdFrom-0.5, 0.5)
+	if k := int(turn); turn-float64(k) < 0.5 && (k+s.entry.Cell)%f.Fronts == f.Front {
+		return 1
 	}
 	return b
 }
@@ -197,11 +203,12 @@
 // openRung is the best rung for opening at a server, -1 if none fits.
 func (f *front) openRung(pb *playback, s *server) int {
 	p := &f.Plans[pb.Plan]
+	viewers := float64(f.viewers+1) / float64(f.running+1)
 	for r := pb.Top; r > p.Floor; r-- {
 		kb := f.rate(pb.Plan, r)
 		step := kb - f.rate(pb.Plan, r-1)
-		if p.Live { // most of its viewers are still to join
-			step *= f.Ladder.Join
+		if p.Live { // others are still to join it, as many as this front has seen come together
+			step *= (1 + f.Ladder.Join*(viewers-1)) / viewers
 		}
 		if f.fullness(s, kb) <= f.mark((f.worth(r)-f.worth(r-1))*f.revenue(pb)/step) {
 			return r
--- a/policy/state.go
+++ b/policy/state.go
@@ -99,6 +99,8 @@
 		wakeAt, wokenAt Time
 		watchAt         Time // when to subscribe
 		probes          float64
+		viewers         int // of live streams
+		running         int // live streams
 		wantProbes      []int
 	}
 )
@@ -178,7 +180,9 @@
 func (f *front) attach(pb *playback, srv, rung int) {
 	s := f.server(srv)
 	var st *stream
+	live := 0
 	if f.Plans[pb.Plan].Live {
+		live = 1
 		for _, x := range s.streams {
 			if x.title == pb.Title && x.plan == pb.Plan && x.rung == rung {
 				st = x
@@ -188,7 +192,9 @@
 	if st == nil {
 		st = &stream{title: pb.Title, plan: pb.Plan, server: srv, rung: rung, changedAt: f.now}
 		s.streams = append(s.streams, st)
+		f.running += live
 	}
+	f.viewers += live
 	f.weigh(st, len(st.members)+1)
 	st.members = append(st.members, pb)
 	pb.stream = st
@@ -210,7 +216,13 @@
 	pb.stream = nil
 	f.weigh(st, len(st.members)-1)
 	st.members = slices.DeleteFunc(st.members, func(m *playback) bool { return m == pb })
+	live := 0
+	if f.Plans[st.plan].Live {
+		live = 1
+	}
+	f.viewers -= live
 	if len(st.members) == 0 {
+		f.running -= live
 		s := f.server(st.server)
 		s.streams = slices.DeleteFunc(s.streams, func(x *stream) bool { return x == st })
 	}
--- a/session/session.go
+++ b/session/session.go
@@ -206,6 +206,7 @@
 // Site is what a front is told at its start.
 type Site struct {
 	Fronts, Zone  int
+	Front         int // its own number among them
 	Plans         []Plan
 	Tenants       []Tenant
 	Ladder        Ladder
