--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,7 +19,7 @@
 	relieved   = 0.97                // and go on until the link is asked so much
 	upBelow    = 0.04                // stepping up leaves so much more free than opening does
 	trust      = 0.50                // weight of a new reading against what was expected of it
-	blend      = 0.05                // weight of one reading in what is usual of such links
+	blend      = 0.05                // weight of one reading in what is usual of such links, at the least
 	swing      = 0.08                // chance added to the fill, so that fronts do not all pick the same server
 	gather     = 0.30                // the same for live titles, but equal at all fronts
 	probeSpend = 0.01                // probes may cost this part of the whole result
@@ -93,8 +93,10 @@
 func (g *gauge) read(f *front, x float64, asOf Time) {
 	w, u := (1-trust)*g.fresh(f), g.usual
 	x -= g.past.At(f.now, asOf) / g.kb
-	u.mean = u.fill(f) + (x-u.fill(f))*max(blend, 1/(2+u.heard))
+	dt := float64(f.now - u.readAt)
+	u.mean = u.fill(f) + (x-u.fill(f))*max(blend, dt/(dt+f.life[0]/4), 1/(2+u.heard))
 	u.heard++
+	u.readAt = f.now
 	g.base, g.known, g.readAt = (1-w)*x+w*g.base, true, f.now
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -29,6 +29,7 @@
 	// usual is what others ask of links, or uplinks, as a rule.
 	usual struct {
 		kb, own, mean, heard float64
+		readAt               Time
 	}
 
 	server struct {
@@ -109,6 +110,7 @@
 	f := &front{Site: site, seed: seed, started: now, now: now, racks: make([]gauge, site.Fleet.Racks),
 		seats: map[[2]int]int{}, tenants: make([]meter.Count, len(site.Tenants)),
 		life: make([]float64, len(site.Plans))}
+	f.links.readAt, f.uplinks.readAt = now, now
 	f.links.kb, f.uplinks.kb = site.Fleet.LinksKB, site.Fleet.UplinkKB*float64(site.Fleet.Racks)
 	for i := range f.racks {
 		f.racks[i] = f.gauge(site.Fleet.UplinkKB, &f.uplinks)
