--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,12 +29,11 @@
 	buckets    = 8                   // of a ring's span
 	history    = 32                  // buckets of a gauge's own past
 	tenantSpan = 10 * session.Second // over which a tenant's rate is held against its share
-	least      = 0.30                // the price of room stays over this part of what the densest floor earns
+	least      = 0.50                // the price of room stays over this part of what the densest floor earns
 	follow     = 0.03                // and follows the best step left untaken so fast, a tick
 	knew       = 0.25                // a short note that tells of so much more than was known counts at once
 	unheard    = 0.60                // fill of a link not heard of, to a manager just back, at the least
-	shows      = 2                   // note delays until a step shows in the readings
-	hush       = 6                   // note delays without a shortage before steps up
+	shows      = 2                   // note delays until a step, or the end of a shortage, shows in the readings
 	served     = 0.98                // share of its rate from which a playback loses nothing
 	never      = math.MinInt64 / 4   // a moment long before any clock
 )
@@ -51,9 +50,8 @@
 	for i, p := range site.Plans {
 		f.best = max(f.best, p.Revenue*f.worth(p.Floor)/f.rate(i, p.Floor))
 		f.price, f.slowest = f.best, max(f.slowest, p.Startup)
-		f.life[i] = 2 * float64(site.Terms.WarmUp)
 	}
-	f.watchAt = never
+	f.life, f.watchAt = 2*float64(site.Terms.WarmUp), never
 	if site.ListOnRequest {
 		f.watchAt = now
 	}
@@ -73,20 +71,19 @@
 	if !g.known {
 		return 0
 	}
-	return f.life[0] / (f.life[0] + float64(f.now-g.readAt))
+	return f.life / (f.life + float64(f.now-g.readAt))
 }
 
-// fill is the mean of what others ask of such links; before it is heard of they are taken to be like this
-// front, within limits, as one of many has few playbacks or, just back, none.
+// fill is the mean of what others ask; unheard, as this front asks, within limits: it may have few playbacks.
 func (u *usual) fill(f *front) float64 {
 	if u.heard > 0 {
 		return u.mean
 	}
 	x := u.own * float64(f.Fronts-1) / u.kb
-	if f.fearedUntil != never {
-		x = unheard
+	if f.fearedUntil != never || x > unheard {
+		return unheard
 	}
-	return min(x, unheard)
+	return x
 }
 
 // read takes a reading of the fill as it was at a moment past.
@@ -94,7 +91,7 @@
 	w, u := (1-trust)*g.fresh(f), g.usual
 	x -= g.past.At(f.now, asOf) / g.kb
 	dt := float64(f.now - u.readAt)
-	u.mean = u.fill(f) + (x-u.fill(f))*max(blend, dt/(dt+f.life[0]/4), 1/(2+u.heard))
+	u.mean = u.fill(f) + (x-u.fill(f))*max(blend, dt/(dt+f.life/4), 1/(2+u.heard))
 	u.heard++
 	u.readAt = f.now
 	g.base, g.known, g.readAt = (1-w)*x+w*g.base, true, f.now
@@ -110,10 +107,8 @@
 		}
 		return
 	}
-	for i := range f.servers {
-		if l.Whole {
-			f.servers[i].entry.State = session.Gone
-		}
+	for i := 0; l.Whole && i < len(f.servers); i++ {
+		f.servers[i].entry.State = session.Gone
 	}
 	for _, e := range l.Entries {
 		s := f.server(e.Server)
@@ -142,9 +137,8 @@
 	}
 }
 
-// coldBudget is this front's share of what a cold server takes within the span of the rule. Where that is less
-// than one set-up the fronts take turns, counted from the server's told start: so the whole goes to one of
-// them, and the first half of a turn only, for clocks and windows that do not agree.
+// coldBudget is this front's share of what a cold server takes within the span of the rule. Under one
+// set-up the fronts take turns, told by the server's start, of half a turn only, as clocks and spans differ.
 func (f *front) coldBudget(s *server) float64 {
 	t := &f.Terms
 	warmth := 1 - (1-t.ColdFrom)*float64(max(s.coldUntil, f.fearedUntil)-f.now)/float64(t.WarmUp)
@@ -167,10 +161,7 @@
 		return false
 	}
 	// A manager that has just come back cannot know which servers are cold, unless it was handed playbacks.
-	if f.now < max(s.coldUntil, f.fearedUntil) {
-		return s.cold.Most(f.now)+1 <= f.coldBudget(s)
-	}
-	return true
+	return f.now >= max(s.coldUntil, f.fearedUntil) || s.cold.Most(f.now)+1 <= f.coldBudget(s)
 }
 
 // fullness is the tighter of link and uplink once kb more are asked.
@@ -182,8 +173,8 @@
 	return max(s.link.fill(f)+kb/link, k.fill(f)+kb/k.kb)
 }
 
-// mark is how full a link may get by a step that earns so much for the rate it adds. Where other steps
-// earn more and are not taken yet, it leaves room for them and for viewers still to come.
+// mark is how full a link may get by a step that earns so much for the rate it adds: it leaves room for steps
+// that earn more and for viewers still to come.
 func (f *front) mark(density float64) float64 {
 	return brim * (1 - spare*(1-min(1, density/f.price)))
 }
@@ -255,37 +246,30 @@
 	if run != nil && float64(len(run.members)) < f.goHome() {
 		return run.server, run.rung, true
 	}
-	home, rung := f.open(pb, true)
-	if rung >= 0 {
+	if srv, rung = f.open(pb, true); srv >= 0 {
 		if run != nil && f.Prices.CrossZone > f.Prices.Move {
 			for _, m := range run.members { // they come back as requests and join the local stream
 				m.wantMove = m.plays
 				f.touch(m)
 			}
 		}
-		return home, rung, false
+		return srv, rung, false
 	}
 	if run != nil {
 		return run.server, run.rung, true
 	}
-	if srv, rung = f.open(pb, false); rung >= 0 {
-		return srv, rung, true
-	}
-	return -1, 0, false
+	srv, rung = f.open(pb, false)
+	return srv, rung, true
 }
 
 // goHome is the paper's mark 2(1-c)/c. Its c is the price of crossing zones against that and what the room
 // of one more stream would earn at the lowest rung.
 func (f *front) goHome() float64 {
-	p := f.Prices.CrossZone
-	if p <= 0 {
-		return math.Inf(1)
-	}
-	c := p / (p + f.worth(0))
+	c := f.Prices.CrossZone / (f.Prices.CrossZone + f.worth(0)) // 0 without a price: never
 	return 2 * (1 - c) / c
 }
 
-// open finds the roomiest holder of the zone, or of the others, and a new stream's rung there, -1 for none.
+// open finds the roomiest holder of the zone, or of the others, and a new stream's rung; server -1 for none.
 func (f *front) open(pb *playback, local bool) (srv, rung int) {
 	srv = -1
 	var room float64
@@ -305,9 +289,12 @@
 		}
 	}
 	if srv < 0 {
-		return -1, -1
+		return -1, 0
+	}
+	if rung = f.openRung(pb, &f.servers[srv]); rung < 0 {
+		srv = -1
 	}
-	return srv, f.openRung(pb, &f.servers[srv])
+	return srv, rung
 }
 
 // may keeps keyed plans within their scope once a try may have run.
@@ -329,15 +316,9 @@
 	if pb.Tenant < len(f.tenants) {
 		f.tenants[pb.Tenant].Add(f.now, 1)
 	}
-	f.earnProbes()
 	f.decide(pb)
 }
 
-// earnProbes lets probes cost their part of what each playback earns.
-func (f *front) earnProbes() {
-	f.probes = min(f.probes+probeSpend/max(f.Prices.Probe, probeSpend/2), float64(len(f.servers)))
-}
-
 // decide sends a playback that has no try out, or answers it.
 func (f *front) decide(pb *playback) {
 	f.touch(pb)
@@ -347,11 +328,10 @@
 	seated := p.Seats == 0 || f.seats[key] < p.Seats
 	again := pb.tries == 0 || pb.tries < f.Terms.MaxTries && f.rationLeft()
 	if pb.Top >= p.Floor && seated && again && float64(left) > 2*f.typical && left > 0 {
-		srv, rung, remote := f.place(pb)
-		if srv >= 0 && f.look(pb, srv) {
-			return
-		}
-		if srv >= 0 {
+		if srv, rung, remote := f.place(pb); srv >= 0 {
+			if f.look(pb, srv) {
+				return
+			}
 			pb.wantServer, pb.wantRung = srv, rung
 			f.attach(pb, srv, rung)
 			if remote && len(pb.stream.members) == 1 {
@@ -374,8 +354,7 @@
 	}
 }
 
-// look holds a playback back for a probe of the server chosen, where load is told no other way: the rung to
-// open at depends on it. Only servers not heard of since their load may have changed are worth it.
+// look holds a playback back for a probe of the server chosen: the rung depends on load not told otherwise.
 func (f *front) look(pb *playback, srv int) bool {
 	s := &f.servers[srv]
 	if !f.probing() || pb.looked || f.now-s.link.readAt < f.Fleet.NoteDelay || f.now+f.slowest > pb.Abandon {
@@ -398,15 +377,16 @@
 	}
 }
 
-// probing tells whether probes are the only word of load, and one can be paid for.
+// probing tells whether probes are the only word of load, and another is within the playbacks' part for them.
 func (f *front) probing() bool {
-	return f.Terms.Probes && f.Fleet.LoadInProbes && !f.Fleet.LoadInAnswers && f.probes >= 1
+	return f.Terms.Probes && f.Fleet.LoadInProbes && !f.Fleet.LoadInAnswers &&
+		f.probes < math.Floor(f.takes*probeSpend/max(f.Prices.Probe, probeSpend/2))
 }
 
 func (f *front) ask(i int) {
 	if s := &f.servers[i]; !s.probeOut {
 		s.probeOut, s.probedAt = true, f.now
-		f.probes--
+		f.probes++
 		f.wantProbes = append(f.wantProbes, i)
 	}
 }
@@ -421,14 +401,14 @@
 	if f.Plans[pb.Plan].Repeat == session.Unsafe {
 		return 0 // giving up on it would not make it safe to send again
 	}
-	parts := Time(1)
-	if pb.tries+1 < f.Terms.MaxTries {
-		parts = 2
+	left := pb.Abandon - f.now
+	if aim := pb.aim - f.now; float64(aim) > 4*f.typical && aim > 0 {
+		left = aim
 	}
-	if left := pb.aim - f.now; float64(left) > 4*f.typical && left > 0 {
-		return left / parts
+	if pb.tries+1 < f.Terms.MaxTries {
+		left /= 2
 	}
-	return (pb.Abandon - f.now) / parts
+	return left
 }
 
 // Opened takes over a playback that plays already.
@@ -439,7 +419,6 @@
 	pb.wantRung, pb.stream.changedAt, f.fearedUntil = pb.setRung, never, never
 	f.hold(pb, srv)
 	f.answered(srv, true)
-	f.earnProbes()
 }
 
 // Playing learns that a set-up has succeeded.
@@ -450,9 +429,6 @@
 	}
 	pb.plays = true
 	f.answered(srv, true)
-	if f.typical == 0 {
-		f.typical = float64(took)
-	}
 	f.typical += (float64(took) - f.typical) / 16
 }
 
@@ -460,26 +436,24 @@
 func (f *front) answered(srv int, well bool) {
 	s := f.server(srv)
 	s.out = max(s.out-1, 0)
-	if well {
-		if s.trial { // it may have restarted unseen; its list entry may still be on the way
-			s.trial = false
-			if f.now >= s.coldUntil {
-				s.coldUntil, s.coldTold = f.now+f.Terms.WarmUp, false
-			}
-		}
-		s.strikes /= 2
+	if !well {
+		return
+	}
+	if s.trial && f.now >= s.coldUntil { // it may have restarted unseen; its list entry may be on the way
+		s.coldUntil, s.coldTold = f.now+f.Terms.WarmUp, false
 	}
+	s.trial = false
+	s.strikes /= 2
 }
 
 // strike keeps new work off a server that fails, resets or keeps silent, twice as long each time.
 // It guards against whatever makes set-ups end badly there; it harms where single errors are common.
 func (f *front) strike(srv int) {
 	s := f.server(srv)
-	if s.trial = true; f.now < s.shunUntil {
-		return // the same trouble, told again by the next playback
+	if s.trial = true; f.now >= s.shunUntil { // otherwise the same trouble, told by another playback
+		s.shunUntil = f.now + f.slowest<<min(s.strikes, 3)
+		s.strikes++
 	}
-	s.shunUntil = f.now + f.slowest<<min(s.strikes, 3)
-	s.strikes++
 }
 
 // Ended takes the end of a setup try or of a playback.
@@ -496,23 +470,18 @@
 	case session.Full:
 		f.server(r.Server).link.read(f, max(f.Fleet.FullFrom, f.server(r.Server).link.fill(f)), f.now)
 	}
-	if pb.plays {
-		if r.Outcome == session.OK {
-			f.life[pb.Plan] += (float64(f.now-pb.since) - f.life[pb.Plan]) / 16
-		}
-	} else {
+	if !pb.plays {
 		f.answered(r.Server, false)
+	} else if r.Outcome == session.OK {
+		f.life += (float64(f.now-pb.since) - f.life) / 16
 	}
 	if r.Final || pb.plays || pb.gone {
 		f.forget(pb)
 		return
 	}
-	switch r.Outcome {
-	case session.Full, session.NoConnection, session.NotSent:
-	default:
-		if pb.ranAt < 0 {
-			pb.ranAt, pb.ranSince = r.Server, f.now-r.Took
-		}
+	neverRan := r.Outcome == session.Full || r.Outcome == session.NoConnection || r.Outcome == session.NotSent
+	if !neverRan && pb.ranAt < 0 {
+		pb.ranAt, pb.ranSince = r.Server, f.now-r.Took
 	}
 	pb.wantServer = -1
 	pb.tried = append(pb.tried, r.Server)
@@ -580,10 +549,9 @@
 		if f.racks[s.rack].fill(f) > g.fill(f) {
 			g, l = &f.racks[s.rack], session.Load{Uplink: l.Link, HasUplink: true}
 		}
-		if f.now-g.readAt < f.Fleet.NoteEvery && g.fill(f) > 1/n.Value-knew {
-			return // a nearer figure than this smoothed one is at hand
-		}
-		if known := g.fill(f); n.Value < served && known < 1/n.Value || n.Value >= served && known > 1 {
+		known := g.fill(f)
+		nearer := f.now-g.readAt < f.Fleet.NoteEvery && known > 1/n.Value-knew // this one is smoothed
+		if !nearer && (n.Value < served && known < 1/n.Value || n.Value >= served && known > 1) {
 			f.loaded(n.Server, l, then)
 		}
 	}
@@ -593,12 +561,11 @@
 // the rate they free, until this front's part of what is too much is gone; the other fronts do the same.
 func (f *front) relieve(g *gauge, behind func(srv int) bool) {
 	x := g.fill(f)
-	if x <= shortAt {
-		return
+	if x > shortAt {
+		g.shortAt = f.now
 	}
-	g.shortAt = f.now
-	if f.now-g.steppedAt < shows*f.Fleet.NoteDelay {
-		return // what was stepped down is not in the readings yet
+	if x <= shortAt || f.now-g.steppedAt < shows*f.Fleet.NoteDelay { // a step taken is not in the readings yet
+		return
 	}
 	for need := (x - relieved) / x * g.own; need > 0; {
 		var worst *stream
@@ -643,12 +610,10 @@
 	s := &f.servers[i]
 	k := &f.racks[s.rack]
 	if s.entry.State != session.Ready || !s.link.known || f.now < max(s.shunUntil, s.coldUntil) ||
-		f.now-max(s.link.shortAt, k.shortAt) < hush*f.Fleet.NoteDelay ||
-		f.now-max(s.link.steppedAt, k.steppedAt) < shows*f.Fleet.NoteDelay {
+		f.now-max(s.link.shortAt, k.shortAt, s.link.steppedAt, k.steppedAt) < shows*f.Fleet.NoteDelay {
 		return
 	}
-	for others := 1.0; ; others = float64(f.Fronts) {
-		// the first step may use all the room; more of them at once leave the other fronts theirs
+	for others := 1.0; ; others = float64(f.Fronts) { // more steps than one leave the other fronts their room
 		var pick *stream
 		most := 0.0
 		for _, st := range s.streams {
--- a/policy/state.go
+++ b/policy/state.go
@@ -93,23 +93,22 @@
 		tenants         []meter.Count
 		taken, extra    meter.Count
 		typical         float64 // setup time
-		life            []float64
+		life            float64 // of a playback
 		price           float64 // of room: what the best step left untaken earns for a kB
 		slowest         Time    // longest startup target
 		best            float64 // revenue for a kB at the densest floor
 		wakeAt, wokenAt Time
-		watchAt         Time // when to subscribe
-		probes          float64
-		viewers         int // of live streams
-		running         int // live streams
+		watchAt         Time    // when to subscribe
+		takes, probes   float64 // playbacks taken, probes sent
+		viewers         int     // of live streams
+		running         int     // live streams
 		wantProbes      []int
 	}
 )
 
 func newFront(site *session.Site, seed uint64, now Time) *front {
 	f := &front{Site: site, seed: seed, started: now, now: now, racks: make([]gauge, site.Fleet.Racks),
-		seats: map[[2]int]int{}, tenants: make([]meter.Count, len(site.Tenants)),
-		life: make([]float64, len(site.Plans))}
+		seats: map[[2]int]int{}, tenants: make([]meter.Count, len(site.Tenants))}
 	f.links.readAt, f.uplinks.readAt = now, now
 	f.links.kb, f.uplinks.kb = site.Fleet.LinksKB, site.Fleet.UplinkKB*float64(site.Fleet.Racks)
 	for i := range f.racks {
@@ -243,6 +242,7 @@
 		f.pbs = append(f.pbs, nil)
 	}
 	f.pbs[r.Playback] = pb
+	f.takes++
 	return pb
 }
 
