The last step down of a shortage is taken by chance, in proportion to what is needed

Holds against any shortage that many managers hear of at once; it harms where one front holds all there is and the shortage is small (it steps a little later).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -585,12 +585,11 @@
 				}
 			}
 		}
-		if worst == nil {
-			return
+		if g.steppedAt = f.now; worst == nil || need < frees*f.chance() {
+			return // where a part of the stream would do, some of the fronts step theirs
 		}
 		f.step(worst, worst.rung-1)
 		need -= frees
-		g.steppedAt = f.now
 	}
 }
 
