--- a/policy/state.go
+++ b/policy/state.go
@@ -235,7 +235,8 @@
 }
 
 func (f *front) take(r session.Request) *playback {
-	pb := &playback{Request: r, wantServer: -1, ranAt: -1, since: f.now, setRung: f.Plans[r.Plan].Floor}
+	floor := f.Plans[r.Plan].Floor
+	pb := &playback{Request: r, wantServer: -1, ranAt: -1, since: f.now, setRung: floor, wantRung: floor}
 	pb.Top = min(pb.Top, f.Plans[r.Plan].Top)
 	pb.aim = f.now + f.Plans[r.Plan].Startup
 	for len(f.pbs) <= r.Playback {
