Look before opening on a server hardly heard of, also where load comes with answers

Cause: among hundreds of servers most are unheard of, and a new stream's rung was set by what is usual. One probe of the server chosen, if its last reading has faded by half, costs less than the wrong rung. In the small nearly all servers are heard of, so few looks happen. Holds against any want of news, late reports too.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -354,10 +354,11 @@
 	}
 }
 
-// look holds a playback back for a probe of the server chosen: the rung depends on load not told otherwise.
+// look holds a playback back for a probe of the server chosen, as its rung depends on load not heard of.
 func (f *front) look(pb *playback, srv int) bool {
 	s := &f.servers[srv]
-	if !f.probing() || pb.looked || f.now-s.link.readAt < f.Fleet.NoteDelay || f.now+f.slowest > pb.Abandon {
+	heard := f.now-s.link.readAt < f.Fleet.NoteDelay || f.Fleet.LoadInAnswers && 2*s.link.fresh(f) > 1
+	if heard || pb.looked || !f.probing() || f.now+f.slowest > pb.Abandon {
 		return false
 	}
 	pb.looked = true
@@ -377,9 +378,9 @@
 	}
 }
 
-// probing tells whether probes are the only word of load, and another is within the playbacks' part for them.
+// probing tells whether probes tell load, and another one is within the playbacks' part for them.
 func (f *front) probing() bool {
-	return f.Terms.Probes && f.Fleet.LoadInProbes && !f.Fleet.LoadInAnswers &&
+	return f.Terms.Probes && f.Fleet.LoadInProbes &&
 		f.probes < math.Floor(f.takes*probeSpend/max(f.Prices.Probe, probeSpend/2))
 }
 
@@ -656,10 +657,9 @@
 	f.probe()
 }
 
-// probe asks the server that was heard of longest ago, where load comes no other way, within what probes may
-// cost. Servers with own playbacks come first: their streams can step.
+// probe asks the server heard of longest ago, own playbacks' first, where load comes no other way.
 func (f *front) probe() {
-	for f.probing() {
+	for !f.Fleet.LoadInAnswers && f.probing() {
 		stale, most := -1, Time(0)
 		for i := range f.servers {
 			s := &f.servers[i]
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -81,7 +81,7 @@
 		Fleet: session.Fleet{Cells: 4, Racks: 2, LinksKB: 8000, UplinkKB: 8000, KBPerWeight: 2000, WeightsTold: true,
 			Places: []float64{24}, NoteDelay: 1e6, NoteEvery: 3e6, LoadInAnswers: true, LoadInProbes: true},
 		Terms: session.Terms{ColdFrom: .5, WarmUp: 12e6, FallMultiple: 2, FallSpan: 2e6, AskWithin: 10e6, MaxTries: 3,
-			Probes: true, MaxComeAgain: 2e6},
+			MaxComeAgain: 2e6},
 		Prices: session.Prices{Move: .05, Probe: .01}}
 }
 
@@ -96,7 +96,8 @@
 		"unsafe": func() { one.Repeat = session.Unsafe }, "onrequest": func() { s.site.ListOnRequest = true },
 		"keyed":   func() { one.Repeat, one.Scope = session.Keyed, session.Scope(x) },
 		"uplink":  func() { s.site.Fleet.UplinkKB = x },
-		"inprobe": func() { s.site.Fleet.LoadInAnswers, s.site.Fleet.NoteEvery = false, 0 },
+		"inprobe": func() { s.site.Terms.Probes, s.site.Fleet.LoadInAnswers, s.site.Fleet.NoteEvery = true, false, 0 },
+		"looks":   func() { s.site.Terms.Probes = true },
 		"ration":  func() { s.site.Terms.Rationed, s.site.Terms.TrySpan, s.site.Terms.FreeTries = true, 10e6, x },
 		"quota":   func() { s.site.Tenants = []session.Tenant{{QuotaPerS: x}, {QuotaPerS: 100}} },
 	} {
