A strike shuns for half the longest startup target at first

Where links are cut or servers fail in part, the shorter first pause finds them well sooner; the pauses still double.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -452,7 +452,7 @@
 func (f *front) strike(srv int) {
 	s := f.server(srv)
 	if s.trial = true; f.now >= s.shunUntil { // otherwise the same trouble, told by another playback
-		s.shunUntil = f.now + f.slowest<<min(s.strikes, 3)
+		s.shunUntil = f.now + f.slowest/2<<min(s.strikes, 3)
 		s.strikes++
 	}
 }
