A look before a rejection too

Guards against refusing on stale or one-sided news; it costs a probe where the fleet really is full.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -246,7 +246,7 @@
 	if run != nil && float64(len(run.members)) < f.goHome() {
 		return run.server, run.rung, true
 	}
-	if srv, rung = f.open(pb, true); srv >= 0 {
+	if srv, rung = f.open(pb, true); rung >= 0 {
 		if run != nil && f.Prices.CrossZone > f.Prices.Move {
 			for _, m := range run.members { // they come back as requests and join the local stream
 				m.wantMove = m.plays
@@ -258,8 +258,10 @@
 	if run != nil {
 		return run.server, run.rung, true
 	}
-	srv, rung = f.open(pb, false)
-	return srv, rung, true
+	if far, r := f.open(pb, false); r >= 0 || srv < 0 {
+		return far, r, true
+	}
+	return srv, rung, false
 }
 
 // goHome is the paper's mark 2(1-c)/c. Its c is the price of crossing zones against that and what the room
@@ -269,7 +271,7 @@
 	return 2 * (1 - c) / c
 }
 
-// open finds the roomiest holder of the zone, or of the others, and a new stream's rung; server -1 for none.
+// open finds the roomiest holder of the zone, or of the others, and a new stream's rung, -1 if none fits.
 func (f *front) open(pb *playback, local bool) (srv, rung int) {
 	srv = -1
 	var room float64
@@ -289,12 +291,9 @@
 		}
 	}
 	if srv < 0 {
-		return -1, 0
-	}
-	if rung = f.openRung(pb, &f.servers[srv]); rung < 0 {
-		srv = -1
+		return -1, -1
 	}
-	return srv, rung
+	return srv, f.openRung(pb, &f.servers[srv])
 }
 
 // may keeps keyed plans within their scope once a try may have run.
@@ -328,10 +327,11 @@
 	seated := p.Seats == 0 || f.seats[key] < p.Seats
 	again := pb.tries == 0 || pb.tries < f.Terms.MaxTries && f.rationLeft()
 	if pb.Top >= p.Floor && seated && again && float64(left) > 2*f.typical && left > 0 {
-		if srv, rung, remote := f.place(pb); srv >= 0 {
-			if f.look(pb, srv) {
-				return
-			}
+		srv, rung, remote := f.place(pb)
+		if srv >= 0 && f.look(pb, srv) { // before a rejection too
+			return
+		}
+		if rung >= 0 {
 			pb.wantServer, pb.wantRung = srv, rung
 			f.attach(pb, srv, rung)
 			if remote && len(pb.stream.members) == 1 {
