A late turn: its news is that much older, its time-outs strike no server

Guards against a manager that stands still and finds everything at once, whatever stopped it: readings count as of the note delay and the lateness before, and a time-out found then is not held against the server. It harms where a server dies during the stall (struck one try later).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -97,7 +97,8 @@
 	g.base, g.known, g.readAt = (1-w)*x+w*g.base, true, f.now
 }
 
-func (f *front) At(now Time) { f.now = now }
+// At begins a turn. One that comes late finds news that is older than it looks.
+func (f *front) At(now Time) { f.now, f.late = now, max(now-f.wakeAt, 0) }
 
 // Listed follows the list of servers.
 func (f *front) Listed(l session.List) {
@@ -367,7 +368,6 @@
 	return true
 }
 
-// seen decides on the playbacks that wait for a look at a server.
 func (f *front) seen(s *server) {
 	waiting := s.waiting
 	s.waiting = nil
@@ -422,7 +422,6 @@
 	f.answered(srv, true)
 }
 
-// Playing learns that a set-up has succeeded.
 func (f *front) Playing(id, try, srv int, took Time) {
 	pb := f.pbs[id]
 	if pb == nil || !pb.out || try != pb.tries-1 || pb.plays {
@@ -467,7 +466,9 @@
 	f.release(pb)
 	switch r.Outcome {
 	case session.Failed, session.TimedOut, session.NoConnection, session.Reset:
-		f.strike(r.Server)
+		if r.Outcome != session.TimedOut || f.late < f.slowest/4 { // a late turn is not the server's fault
+			f.strike(r.Server)
+		}
 	case session.Full:
 		f.server(r.Server).link.read(f, max(f.Fleet.FullFrom, f.server(r.Server).link.fill(f)), f.now)
 	}
@@ -489,7 +490,6 @@
 	f.decide(pb)
 }
 
-// Left drops a playback whose client has gone.
 func (f *front) Left(id int) {
 	if pb := f.pbs[id]; pb != nil && !pb.gone {
 		pb.wantEnd, pb.gone = owed, true
@@ -537,7 +537,7 @@
 		return
 	}
 	s := f.server(n.Server)
-	then := f.now - f.Fleet.NoteDelay
+	then := f.now - f.Fleet.NoteDelay - f.late
 	switch n.Kind {
 	case session.RungNow:
 		f.playsAt(pb, int(n.Value))
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -13,7 +13,8 @@
 
 // stage plays one scenario file. A line `T event ...` lets time pass to T seconds (timers due on the way
 // fire) and tells the module an event; `> action` wants an action of that start since then, `! action`
-// wants none, `= N action` exactly N; `|` parts what stands on one line. `set key value` and
+// wants none, `= N action` exactly N; `T late event` comes in a late turn;
+// `|` parts what stands on one line. `set key value` and
 // `server key=value ...` come first.
 // Whatever the scenario, no playback may have two tries out, two answers, or a try at a server not ready.
 type stage struct {
@@ -272,7 +273,12 @@
 			s.now, s.m = t, New(&s.site, 7, t)
 		}
 		s.actions = nil
-		s.pass(t)
+		if w[1] == "late" { // the turn comes late: timers due before have not fired yet
+			s.now, w = t, w[1:]
+			s.m.At(t)
+		} else {
+			s.pass(t)
+		}
 		s.event(w[1:])
 		s.m.Settle(s)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -79,7 +79,7 @@
 
 	front struct {
 		*session.Site
-		now             Time
+		now, late       Time // late: by how much this turn is
 		seed            uint64
 		draws           uint32
 		started         Time
