--- a/policy/policy.go
+++ b/policy/policy.go
@@ -139,7 +139,7 @@
 }
 
 // coldBudget is this front's share of what a cold server takes within the span of the rule. Under one
-// set-up the fronts take turns, told by the server's start, of half a turn only, as clocks and spans differ.
+// set-up the fronts take turns, counted from its start, and use half a turn: no span sees more than are due.
 func (f *front) coldBudget(s *server) float64 {
 	t := &f.Terms
 	warmth := 1 - (1-t.ColdFrom)*float64(max(s.coldUntil, f.fearedUntil)-f.now)/float64(t.WarmUp)
@@ -148,7 +148,7 @@
 	if b >= 1 || !s.coldTold {
 		return max(b, 1)
 	}
-	turn := float64(f.now-s.entry.Started) / float64(t.FallSpan) * max(all*t.ColdFrom-0.5, 0.5)
+	turn := float64(f.now-s.entry.Started) / float64(t.FallSpan) * (max(math.Floor(all*t.ColdFrom), 1) - 0.5)
 	if k := int(turn); turn-float64(k) < 0.5 && (k+s.entry.Cell)%f.Fronts == f.Front {
 		return 1
 	}
@@ -309,7 +309,6 @@
 			p.Scope == session.SameCell && a.Cell == b.Cell)
 }
 
-// Requested takes a playback.
 func (f *front) Requested(r session.Request) {
 	pb := f.take(r)
 	f.taken.Add(f.now, 1)
@@ -448,9 +447,10 @@
 
 // strike keeps new work off a server that fails, resets or keeps silent, twice as long each time.
 // It guards against whatever makes set-ups end badly there; it harms where single errors are common.
-func (f *front) strike(srv int) {
+func (f *front) strike(srv int, o session.Outcome) {
 	s := f.server(srv)
-	if s.trial = true; f.now >= s.shunUntil { // otherwise the same trouble, told by another playback
+	fault := o != session.TimedOut || f.late < f.slowest/4         // a time-out found in a late turn may be this front's
+	if s.trial = s.trial || fault; fault && f.now >= s.shunUntil { // else the same trouble, told again
 		s.shunUntil = f.now + f.slowest/2<<min(s.strikes, 3)
 		s.strikes++
 	}
@@ -462,14 +462,12 @@
 	if pb == nil || !pb.out || r.Try != pb.tries-1 {
 		return
 	}
-	f.loaded(r.Server, r.Load, f.now-f.Fleet.NoteDelay/2)
+	f.loaded(r.Server, r.Load, f.now-f.Fleet.NoteDelay/2-f.late)
 	f.release(pb)
 	switch r.Outcome {
 	case session.Failed, session.TimedOut, session.NoConnection, session.Reset:
-		if r.Outcome != session.TimedOut || f.late < f.slowest/4 { // a late turn is not the server's fault
-			f.strike(r.Server)
-		}
-	case session.Full:
+		f.strike(r.Server, r.Outcome)
+	case session.Full: // at least as full as it was thought to be, guard told or not
 		f.server(r.Server).link.read(f, max(f.Fleet.FullFrom, f.server(r.Server).link.fill(f)), f.now)
 	}
 	if !pb.plays {
@@ -523,9 +521,9 @@
 	s := f.server(srv)
 	s.probeOut = false
 	if o == session.OK {
-		f.loaded(srv, l, f.now-f.Fleet.NoteDelay/2)
+		f.loaded(srv, l, f.now-f.Fleet.NoteDelay/2-f.late)
 	} else if s.entry.State == session.Ready && o != session.Full {
-		f.strike(srv)
+		f.strike(srv, o)
 	}
 	f.seen(s)
 }
