--- a/policy/policy.go
+++ b/policy/policy.go
@@ -449,7 +449,7 @@
 // It guards against whatever makes set-ups end badly there; it harms where single errors are common.
 func (f *front) strike(srv int, o session.Outcome) {
 	s := f.server(srv)
-	fault := o != session.TimedOut || f.late < f.slowest/4         // a time-out found in a late turn may be this front's
+	fault := o != session.TimedOut || f.late < f.slowest/4         // or this late front was at fault
 	if s.trial = s.trial || fault; fault && f.now >= s.shunUntil { // else the same trouble, told again
 		s.shunUntil = f.now + f.slowest/2<<min(s.strikes, 3)
 		s.strikes++
