--- a/policy/policy.go
+++ b/policy/policy.go
@@ -63,7 +63,21 @@
 // which fades to what is usual as their playbacks end; of a link not heard of it is the usual.
 func (g *gauge) fill(f *front) float64 {
 	w := g.fresh(f)
-	return max(g.base*w+g.usual.fill(f)*(1-w), 0) + g.own/g.kb
+	return max(g.base*w+g.others(f)*(1-w), 0) + g.own/g.kb
+}
+
+// others is what other fronts usually ask; of an uplink that no report tells it is what its links are asked.
+func (g *gauge) others(f *front) float64 {
+	if f.Fleet.UplinkTold || g.usual != &f.uplinks {
+		return g.usual.fill(f)
+	}
+	kb := -g.own
+	for _, i := range g.behind {
+		if s := &f.servers[i]; s.entry.State != session.Gone {
+			kb += s.link.fill(f) * s.link.kb
+		}
+	}
+	return max(kb, 0) / g.kb
 }
 
 // fresh is how much the last reading still tells.
--- a/policy/state.go
+++ b/policy/state.go
@@ -21,8 +21,9 @@
 		usual         *usual
 		known         bool
 		readAt        Time
-		shortAt       Time // last found short
-		steppedAt     Time // this front last stepped streams here
+		shortAt       Time  // last found short
+		steppedAt     Time  // this front last stepped streams here
+		behind        []int // the servers of an uplink
 		past          meter.Past
 	}
 
@@ -282,11 +283,17 @@
 // enter books a server's list entry, and what it carries at its rack.
 func (f *front) enter(s *server, e session.Entry) {
 	s.entry = e
-	if rack := e.Cell % f.Fleet.Racks; rack != s.rack {
+	rack := e.Cell % f.Fleet.Racks
+	if rack != s.rack {
 		f.racks[s.rack].add(f, -s.link.own)
 		f.racks[rack].add(f, s.link.own)
+		from := &f.racks[s.rack]
+		from.behind = slices.DeleteFunc(from.behind, func(i int) bool { return i == e.Server })
 		s.rack = rack
 	}
+	if k := &f.racks[rack]; !slices.Contains(k.behind, e.Server) {
+		k.behind = append(k.behind, e.Server)
+	}
 }
 
 // playsAt books the rung of a playback taken over.
--- a/session/session.go
+++ b/session/session.go
@@ -179,6 +179,7 @@
 	NoteDelay, NoteEvery Time
 	LoadInAnswers        bool
 	LoadInProbes         bool
+	UplinkTold           bool // load tells of uplinks too
 }
 
 // Terms are the figures of the six rules.
