--- a/policy/policy.go
+++ b/policy/policy.go
@@ -374,8 +374,7 @@
 // look holds a playback back for a probe of the server chosen, as its rung depends on load not heard of.
 func (f *front) look(pb *playback, srv int) bool {
 	s := &f.servers[srv]
-	heard := f.now-s.link.readAt < f.Fleet.NoteDelay || f.Fleet.LoadInAnswers && 2*s.link.fresh(f) > 1
-	if heard || pb.looked || !f.probing() || f.now+f.slowest > pb.Abandon {
+	if f.heard(s) || pb.looked || !f.probing() || f.now+f.slowest > pb.Abandon {
 		return false
 	}
 	pb.looked = true
@@ -384,6 +383,11 @@
 	return true
 }
 
+// heard tells whether the server's load was told lately enough to decide by.
+func (f *front) heard(s *server) bool {
+	return f.now-s.link.readAt < f.Fleet.NoteDelay || f.Fleet.LoadInAnswers && 2*s.link.fresh(f) > 1
+}
+
 func (f *front) seen(s *server) {
 	waiting := s.waiting
 	s.waiting = nil
@@ -561,14 +565,15 @@
 	case session.UplinkAsked:
 		f.loaded(n.Server, session.Load{Uplink: n.Value, HasUplink: true}, then)
 	case session.Delivered:
-		g, l := &s.link, session.Load{Link: 1 / max(n.Value, 0.1), HasLink: true}
+		g, behind := &s.link, func(x int) bool { return x == n.Server }
 		if f.racks[s.rack].fill(f) > g.fill(f) {
-			g, l = &f.racks[s.rack], session.Load{Uplink: l.Link, HasUplink: true}
+			g, behind = &f.racks[s.rack], func(x int) bool { return f.servers[x].rack == s.rack }
 		}
 		known := g.fill(f)
 		nearer := f.now-g.readAt < f.Fleet.NoteEvery && known > 1/n.Value-knew // this one is smoothed
 		if !nearer && (n.Value < served && known < 1/n.Value || n.Value >= served && known > 1) {
-			f.loaded(n.Server, l, then)
+			g.read(f, 1/max(n.Value, 0.1), then)
+			f.relieve(g, behind)
 		}
 	}
 }
@@ -624,8 +629,8 @@
 func (f *front) raise(i int) {
 	s := &f.servers[i]
 	k := &f.racks[s.rack]
-	if s.entry.State != session.Ready || !s.link.known || f.now < max(s.shunUntil, s.coldUntil) ||
-		f.now-max(s.link.shortAt, k.shortAt, s.link.steppedAt, k.steppedAt) < shows*f.Fleet.NoteDelay {
+	if s.entry.State != session.Ready || f.now < max(s.shunUntil, s.coldUntil) ||
+		!s.link.known && f.Fleet.NoteEvery > 0 || f.now-max(s.link.shortAt, k.shortAt, s.link.steppedAt, k.steppedAt) < shows*f.Fleet.NoteDelay {
 		return
 	}
 	for others := 1.0; ; others = float64(f.Fronts) { // more steps than one leave the other fronts their room
@@ -644,6 +649,10 @@
 		if pick == nil {
 			return
 		}
+		if f.Fleet.NoteEvery == 0 && !f.heard(s) && f.probing() { // the answer decides
+			f.ask(i)
+			return
+		}
 		f.step(pick, pick.rung+1)
 		s.link.steppedAt, k.steppedAt = f.now, f.now
 	}
