--- a/policy/policy.go
+++ b/policy/policy.go
@@ -80,6 +80,12 @@
 	return max(kb, 0) / g.kb
 }
 
+// fit takes an uplink that no report tells of to give what makes its links' asking come to a fill of x.
+func (g *gauge) fit(f *front, x float64) {
+	kb := g.kb * (1 + (g.fill(f)/x-1)*trust)
+	g.kb = min(max(kb, f.Fleet.UplinkKB/2), f.Fleet.UplinkKB*2)
+}
+
 // fresh is how much the last reading still tells.
 func (g *gauge) fresh(f *front) float64 {
 	if !g.known {
@@ -571,7 +577,12 @@
 		}
 		known := g.fill(f)
 		nearer := f.now-g.readAt < f.Fleet.NoteEvery && known > 1/n.Value-knew // this one is smoothed
-		if !nearer && (n.Value < served && known < 1/n.Value || n.Value >= served && known > 1) {
+		if g != &s.link && !f.Fleet.UplinkTold {
+			if n.Value < served || known > 1 {
+				g.fit(f, 1/max(n.Value, 0.1))
+			}
+			f.relieve(g, func(x int) bool { return f.servers[x].rack == s.rack })
+		} else if !nearer && (n.Value < served && known < 1/n.Value || n.Value >= served && known > 1) {
 			g.read(f, 1/max(n.Value, 0.1), then)
 			f.relieve(g, behind)
 		}
@@ -672,6 +683,12 @@
 		}
 	}
 	f.price += (most - f.price) * follow
+	for i := range f.racks { // no note of a shortage, so there is none
+		k := &f.racks[i]
+		if x := k.fill(f); !f.Fleet.UplinkTold && k.own > 0 && x > 1 && f.now-k.shortAt > shows*f.Fleet.NoteDelay+session.Second {
+			k.fit(f, 1)
+		}
+	}
 	for i := range f.servers {
 		f.raise(i)
 		if s := &f.servers[i]; len(s.waiting) > 0 && f.now-s.probedAt > f.slowest/4 {
