Untold uplinks are fitted to short notes, and taken for wider while none come

Now a short note sets what the uplink gives (fit); while playbacks behind it play and none comes, it is taken for wider, once more its size in a playback's life, to twice the mean (widen).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,6 +35,7 @@
 	unheard    = 0.60                // fill of a link not heard of, to a manager just back, at the least
 	shows      = 2                   // note delays until a step, or the end of a shortage, shows in the readings
 	served     = 0.98                // share of its rate from which a playback loses nothing
+	widest     = 2                   // an untold uplink is taken to give so many times the mean at most
 	never      = math.MinInt64 / 4   // a moment long before any clock
 )
 
@@ -82,8 +83,16 @@
 
 // fit takes an uplink that no report tells of to give what makes its links' asking come to a fill of x.
 func (g *gauge) fit(f *front, x float64) {
-	kb := g.kb * (1 + (g.fill(f)/x-1)*trust)
-	g.kb = min(max(kb, f.Fleet.UplinkKB/2), f.Fleet.UplinkKB*2)
+	g.kb = min(max(g.kb*g.fill(f)/x, f.Fleet.UplinkKB/widest), f.Fleet.UplinkKB*widest)
+}
+
+// widen takes such an uplink for wider while none of this front's playbacks behind it is told to be short.
+func (f *front) widen(g *gauge, tick Time) {
+	if f.Fleet.UplinkTold || g.own == 0 || f.now-g.shortAt < shows*f.Fleet.NoteDelay+session.Second {
+		return
+	}
+	x := g.fill(f)
+	g.fit(f, min(x, 1)/(1+float64(tick)/f.life))
 }
 
 // fresh is how much the last reading still tells.
@@ -561,7 +570,6 @@
 	if pb == nil {
 		return
 	}
-	s := f.server(n.Server)
 	then := f.now - f.Fleet.NoteDelay - f.late
 	switch n.Kind {
 	case session.RungNow:
@@ -571,22 +579,32 @@
 	case session.UplinkAsked:
 		f.loaded(n.Server, session.Load{Uplink: n.Value, HasUplink: true}, then)
 	case session.Delivered:
-		g, behind := &s.link, func(x int) bool { return x == n.Server }
-		if f.racks[s.rack].fill(f) > g.fill(f) {
-			g, behind = &f.racks[s.rack], func(x int) bool { return f.servers[x].rack == s.rack }
-		}
-		known := g.fill(f)
-		nearer := f.now-g.readAt < f.Fleet.NoteEvery && known > 1/n.Value-knew // this one is smoothed
-		if g != &s.link && !f.Fleet.UplinkTold {
-			if n.Value < served || known > 1 {
-				g.fit(f, 1/max(n.Value, 0.1))
-			}
-			f.relieve(g, func(x int) bool { return f.servers[x].rack == s.rack })
-		} else if !nearer && (n.Value < served && known < 1/n.Value || n.Value >= served && known > 1) {
-			g.read(f, 1/max(n.Value, 0.1), then)
-			f.relieve(g, behind)
+		f.delivered(n.Server, n.Value, then)
+	}
+}
+
+// delivered takes the share of their rates that playbacks at a server get for the fuller of its link and its
+// rack's uplink.
+func (f *front) delivered(srv int, share float64, then Time) {
+	s := &f.servers[srv]
+	g, behind := &s.link, func(x int) bool { return x == srv }
+	if f.racks[s.rack].fill(f) > g.fill(f) {
+		g, behind = &f.racks[s.rack], func(x int) bool { return f.servers[x].rack == s.rack }
+	}
+	known := g.fill(f)
+	if share >= served && known <= 1 {
+		return
+	}
+	if g != &s.link && !f.Fleet.UplinkTold {
+		g.fit(f, 1/max(share, 0.1))
+	} else {
+		nearer := f.now-g.readAt < f.Fleet.NoteEvery && known > 1/share-knew // this one is smoothed
+		if nearer || share < served && known >= 1/share {
+			return
 		}
+		g.read(f, 1/max(share, 0.1), then)
 	}
+	f.relieve(g, behind)
 }
 
 // relieve answers a shortage: of the streams behind the gauge those go one rung down that lose least for
@@ -641,7 +659,8 @@
 	s := &f.servers[i]
 	k := &f.racks[s.rack]
 	if s.entry.State != session.Ready || f.now < max(s.shunUntil, s.coldUntil) ||
-		!s.link.known && f.Fleet.NoteEvery > 0 || f.now-max(s.link.shortAt, k.shortAt, s.link.steppedAt, k.steppedAt) < shows*f.Fleet.NoteDelay {
+		!s.link.known && f.Fleet.NoteEvery > 0 ||
+		f.now-max(s.link.shortAt, k.shortAt, s.link.steppedAt, k.steppedAt) < shows*f.Fleet.NoteDelay {
 		return
 	}
 	for others := 1.0; ; others = float64(f.Fronts) { // more steps than one leave the other fronts their room
@@ -683,11 +702,8 @@
 		}
 	}
 	f.price += (most - f.price) * follow
-	for i := range f.racks { // no note of a shortage, so there is none
-		k := &f.racks[i]
-		if x := k.fill(f); !f.Fleet.UplinkTold && k.own > 0 && x > 1 && f.now-k.shortAt > shows*f.Fleet.NoteDelay+session.Second {
-			k.fit(f, 1)
-		}
+	for i := range f.racks {
+		f.widen(&f.racks[i], f.wakeAt-f.now)
 	}
 	for i := range f.servers {
 		f.raise(i)
