--- a/internal/simwire/start.go
+++ b/internal/simwire/start.go
@@ -18,6 +18,7 @@
 		Stream                 bool
 	}
 	Customers []struct{ QuotaPerS float64 }
+	Goal      struct{ WorstClass float64 }
 	Domain    struct {
 		Cabinets, Positions               int
 		ChangeCostsS, Join                float64
@@ -85,7 +86,7 @@
 			AskWithin: micros(w.Rules.AskWithin), MaxTries: w.Limits.MaxAttempts,
 			Probes: w.Limits.Probes},
 		Prices: session.Prices{CrossZone: w.Prices.CrossZone, Move: w.Prices.Moves, Probe: w.Prices.Probe,
-			OverShare: w.OverShareWorth},
+			WorstPlan: w.Goal.WorstClass, OverShare: w.OverShareWorth},
 	}
 	if w.Limits.RetryAfter {
 		s.Terms.MaxComeAgain = micros(w.Limits.MaxRetryAfter)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,6 +35,7 @@
 	unheard    = 0.60                // fill of a link not heard of, to a manager just back, at the least
 	shows      = 2                   // note delays until a step, or the end of a shortage, shows in the readings
 	served     = 0.98                // share of its rate from which a playback loses nothing
+	even       = 0.30                // so far behind the others a plan counts as the worst in full
 	widest     = 2                   // an untold uplink is taken to give so many times the mean at most
 	never      = math.MinInt64 / 4   // a moment long before any clock
 )
@@ -214,7 +215,7 @@
 
 // revenue is a plan's, less what the tenant's traffic beyond its share is not worth.
 func (f *front) revenue(pb *playback) float64 {
-	r := f.Plans[pb.Plan].Revenue
+	r := f.Plans[pb.Plan].Revenue * f.plans[pb.Plan].weight
 	if pb.Tenant < len(f.tenants) {
 		t := &f.tenants[pb.Tenant]
 		since := float64(max(min(tenantSpan, f.now-f.started), session.Second)) / float64(session.Second)
@@ -628,7 +629,8 @@
 				if st.rung <= f.Plans[st.plan].Floor || f.now-st.changedAt < shows*f.Fleet.NoteDelay {
 					continue
 				}
-				lost := (f.worth(st.rung) - f.worth(st.rung-1)) * f.Plans[st.plan].Revenue * float64(len(st.members))
+				revenue := f.Plans[st.plan].Revenue * f.plans[st.plan].weight * float64(len(st.members))
+				lost := (f.worth(st.rung) - f.worth(st.rung-1)) * revenue
 				freed := f.streamKB(st, len(st.members)) * (1 - f.rate(st.plan, st.rung-1)/f.rate(st.plan, st.rung))
 				if lost/freed < least {
 					worst, least, frees = st, lost/freed, freed
@@ -688,6 +690,35 @@
 	}
 }
 
+// weighPlans gives the plan served worst the weight that the site counts it with, besides its part of the whole.
+func (f *front) weighPlans(step float64) {
+	for i := range f.plans {
+		f.plans[i].asked *= 1 - step
+		f.plans[i].earned *= 1 - step
+	}
+	for i := range f.servers {
+		for _, st := range f.servers[i].streams {
+			p := &f.plans[st.plan]
+			for _, pb := range st.members {
+				p.asked += step * f.Plans[st.plan].Revenue * f.worth(pb.Top)
+				p.earned += step * f.Plans[st.plan].Revenue * f.worth(st.rung)
+			}
+		}
+	}
+	all, earned := 0.0, 0.0
+	for _, p := range f.plans {
+		all, earned = all+p.asked, earned+p.earned
+	}
+	for i := range f.plans {
+		p := &f.plans[i]
+		if p.weight = 1; p.asked > 0 && all > p.asked {
+			behind := (earned-p.earned)/(all-p.asked) - p.earned/p.asked
+			w := f.Prices.WorstPlan / (1 - f.Prices.WorstPlan) * all / p.asked
+			p.weight += w * min(max(behind/even, 0), 1)
+		}
+	}
+}
+
 // Woken runs what comes with time.
 func (f *front) Woken(uint64) {
 	if f.now < f.wakeAt {
@@ -702,6 +733,7 @@
 		}
 	}
 	f.price += (most - f.price) * follow
+	f.weighPlans(float64(f.wakeAt-f.now) / f.life)
 	for i := range f.racks {
 		f.widen(&f.racks[i], f.wakeAt-f.now)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -58,6 +58,12 @@
 		opened                    bool // by this front, remote, for want of local room
 	}
 
+	// service is a plan's revenue asked for and earned of late, as the rungs of this front's playbacks tell it.
+	service struct {
+		asked, earned float64
+		weight        float64 // of its revenue, beside that of other plans
+	}
+
 	playback struct {
 		session.Request
 		aim, since Time
@@ -92,6 +98,7 @@
 		dirty           []*playback
 		seats           map[[2]int]int
 		tenants         []meter.Count
+		plans           []service
 		taken, extra    meter.Count
 		typical         float64 // setup time
 		life            float64 // of a playback
@@ -109,7 +116,8 @@
 
 func newFront(site *session.Site, seed uint64, now Time) *front {
 	f := &front{Site: site, seed: seed, started: now, now: now, racks: make([]gauge, site.Fleet.Racks),
-		seats: map[[2]int]int{}, tenants: make([]meter.Count, len(site.Tenants))}
+		seats: map[[2]int]int{}, tenants: make([]meter.Count, len(site.Tenants)),
+		plans: slices.Repeat([]service{{weight: 1}}, len(site.Plans))}
 	f.links.readAt, f.uplinks.readAt = now, now
 	f.links.kb, f.uplinks.kb = site.Fleet.LinksKB, site.Fleet.UplinkKB*float64(site.Fleet.Racks)
 	for i := range f.racks {
--- a/session/session.go
+++ b/session/session.go
@@ -201,6 +201,7 @@
 // Prices are parts of the whole result.
 type Prices struct {
 	CrossZone, Move, Probe float64
+	WorstPlan              float64 // what the worst-served plan's service counts beside the whole, of 1
 	OverShare              float64 // worth of traffic beyond a tenant's share
 }
 
