--- a/policy/policy.go
+++ b/policy/policy.go
@@ -230,7 +230,7 @@
 // openRung is the best rung for opening at a server, -1 if none fits.
 func (f *front) openRung(pb *playback, s *server) int {
 	p := &f.Plans[pb.Plan]
-	viewers := float64(f.viewers+1) / float64(f.running+1)
+	viewers := max(float64(f.viewers+1)/float64(f.running+1), 2) // it is opened for one more at least
 	for r := pb.Top; r > p.Floor; r-- {
 		kb := f.rate(pb.Plan, r)
 		step := kb - f.rate(pb.Plan, r-1)
@@ -690,7 +690,7 @@
 	}
 }
 
-// weighPlans gives the plan served worst the weight that the site counts it with, besides its part of the whole.
+// weighPlans gives the plan served worst the weight that the site counts it with beside the whole.
 func (f *front) weighPlans(step float64) {
 	for i := range f.plans {
 		f.plans[i].asked *= 1 - step
