--- a/policy/policy.go
+++ b/policy/policy.go
@@ -435,8 +435,8 @@
 
 // limit leaves time for another try within the startup target, while there is one to be had.
 func (f *front) limit(pb *playback) Time {
-	if f.Plans[pb.Plan].Repeat == session.Unsafe {
-		return 0 // giving up on it would not make it safe to send again
+	if p := &f.Plans[pb.Plan]; p.Repeat == session.Unsafe { // the only one; its viewer hears when it is lost
+		return p.Startup
 	}
 	left := pb.Abandon - f.now
 	if aim := pb.aim - f.now; float64(aim) > 4*f.typical && aim > 0 {
