The session manager takes both shapes of deployment from its settings and refuses a mix

New keys: fleet.uplinks, terms.advice, prices.worst_plan; left out, all is as before. A check at start and pierlink check refuse, by key: advice or a promise's secret where advice is off, load by probes or a price of probes where they are off, notes where load does not come with answers, a ration's figures without the ration, a key's figures at an unsafe plan. Where advice is off neither the decisions, the door, its queue nor a drain says when to come again. The module does not move paid playbacks: the new place would be a second paid set-up.

--- a/internal/fair/queue.go
+++ b/internal/fair/queue.go
@@ -25,6 +25,7 @@
 	Clients int                // clients of all tenants of which something is remembered, beside those that wait
 	Startup Time               // the longest startup target
 	Longest Time               // the longest advice that clients honour, 0 for any
+	Silent  bool               // nobody is told when to come again, and nothing is promised
 	Weights map[string]float64 // of tenants; 1 for those not named
 	Secret  []byte             // of the tokens; managers that share it know each other's
 	Unfair  Order              // a baseline's order in place of the fair one
@@ -580,7 +581,7 @@
 	r.tenant.Figures.Refused++
 	q.Refused[why]++
 	after, token := q.advise(r.tenant, r.Client)
-	if r.back || r.Token != "" {
+	if !q.terms.Silent && (r.back || r.Token != "") {
 		if due, ok := q.promise.told(&r.Ask); ok && due > q.now { // too early: its time stands
 			after, token = due-q.now, r.Token
 		}
@@ -622,6 +623,9 @@
 // one after the other at that part, spread by chance within their turns. Where that lies beyond the longest
 // advice nothing is promised; the time told is then the longest, spread over its last half.
 func (q *Queue) advise(t *tenant, client string) (Time, string) {
+	if q.terms.Silent {
+		return 0, ""
+	}
 	rate := q.rate(t)
 	come := q.promise.share(q.now)
 	turn := 1e6 / (rate * promised) * come
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -60,6 +60,7 @@
 	Secret         []byte      // of the session ids
 	Queue          *fair.Terms // of the door; nil asks the module at once
 	Limits         fair.Limits
+	Silent         bool          // no answer says when to come again
 	Journal        Journal       // nil for none
 	Gate           *Gate         // who may play what; nil for all
 	Quality        *quality.Core // service by rack and title; nil for none
--- a/internal/front/life.go
+++ b/internal/front/life.go
@@ -126,7 +126,13 @@
 	return refusal(f.comeAgain())
 }
 
-func (f *Front) comeAgain() Time { return max(f.Site.Terms.MaxComeAgain, core.Second) }
+// comeAgain is the advice that the door itself gives.
+func (f *Front) comeAgain() Time {
+	if f.Silent {
+		return 0
+	}
+	return max(f.Site.Terms.MaxComeAgain, core.Second)
+}
 
 // place is a URL at another session manager; empty if none is ready.
 func (f *Front) place(p *peer, base string) string {
--- a/internal/front/scenario_test.go
+++ b/internal/front/scenario_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"pierlink/internal/core"
+	"pierlink/internal/fair"
 	"pierlink/internal/front"
 	"pierlink/internal/life"
 	"pierlink/internal/quality"
@@ -357,6 +358,15 @@
 			s.service.Bounds.Playbacks = x
 		case "halfopen":
 			s.service.Limits.HalfOpen = x
+		case "silent": // no advice to come again
+			s.service.Silent, s.service.Site.Terms.MaxComeAgain = true, 0
+		case "queue":
+			s.service.Queue = &fair.Terms{Waiting: x, Bytes: 1 << 20, Tenants: 9, Clients: 9, Silent: s.service.Silent}
+		case "seats": // of the paid plan
+			s.service.Site.Plans[1].Seats = x
+		case "ration": // further tries, over 10 s
+			t := &s.service.Site.Terms
+			t.Rationed, t.FreeTries, t.TrySpan, t.MaxTries = true, float64(x), 10*core.Second, 9
 		case "drain":
 			s.life = life.New(life.Terms{Drain: core.Time(x) * core.Second, Finish: 4 * core.Second}, core.Second)
 			for p := life.Settings; p <= life.Module; p++ {
--- a/internal/lab/notation.go
+++ b/internal/lab/notation.go
@@ -46,6 +46,7 @@
 	NoticeSpread                  Time // the list reaches managers within so long
 	LostNotice                    Time // a death shows in the list after so long
 	ByProbes                      bool
+	Silent                        bool // no answer says when to come again
 
 	Plans   []DayPlan
 	Site    session.Site
@@ -362,9 +363,13 @@
 	t.Rationed = w.kv["tryshare"] != "" || w.kv["freetries"] != ""
 	t.FreeTries, t.TryShare, t.TrySpan = w.number("freetries", 0), w.number("tryshare", 0), w.span("tryspan", 10)
 	t.Probes = w.count("probes", 1) > 0
+	if d.Silent = w.count("advice", 1) == 0; d.Silent {
+		t.MaxComeAgain = 0
+	}
 	d.Grace, d.Timeout = w.span("grace", 0.25), w.span("timeout", 20)
 	d.Site.Prices = session.Prices{CrossZone: w.number("crosszone", 0.02), Move: w.number("move", 0.05),
-		Probe: w.number("probe", 0.01), OverShare: 0.1}
+		Probe: w.number("probe", 0.01), OverShare: 0.1,
+		WorstPlan: w.number("worstplan", 0)}
 	f.ColdFrom, f.WarmUp, f.FallMultiple, f.FallSpan = t.ColdFrom, t.WarmUp, t.FallMultiple, t.FallSpan
 	f.SessionTimeout = d.Timeout
 }
--- a/internal/lab/processes.go
+++ b/internal/lab/processes.go
@@ -119,17 +119,14 @@
 fall_multiple = %[26]g
 fall_span = "%[27]dus"
 max_tries = %[28]d
-rationed = %[29]t
-free_tries = %[30]g
-try_share = %[31]g
-try_span = "%[32]dus"
+%[29]s
 probes = true
-max_come_again = "%[33]dus"
+%[30]s
 [prices]
-cross_zone = %[34]g
-move = %[35]g
-probe = %[36]g
-over_share = %[37]g
+cross_zone = %[31]g
+move = %[32]g
+probe = %[33]g
+over_share = %[34]g
 `
 
 func floats(all []float64) string {
@@ -147,16 +144,26 @@
 		zones = append(zones, fmt.Sprintf("%q", fmt.Sprint("zone-", i)))
 	}
 	t, f, pr := &d.Site.Terms, &d.Site.Fleet, &d.Site.Prices
+	ration, advice := "", fmt.Sprintf("max_come_again = \"%dus\"", t.MaxComeAgain)
+	if t.Rationed {
+		ration = fmt.Sprintf("rationed = true\nfree_tries = %g\ntry_share = %g\ntry_span = \"%dus\"", t.FreeTries, t.TryShare, t.TrySpan)
+	}
+	if d.Silent {
+		advice = "advice = false"
+	}
 	text := fmt.Sprintf(processTemplate, listen, name, d.Managers, zone, strings.Join(zones, ", "), d.Timeout, playbacks, endpoint, d.Grace,
 		drain, floats(d.Frame.LadderKB), floats(d.Site.Ladder.Worth), d.Frame.Join, d.Site.Ladder.Change, f.Cells, f.Racks, f.LinksKB,
 		f.UplinkKB, f.KBPerWeight, f.FullFrom, f.NoteDelay, f.NoteEvery, d.Frame.Places, t.ColdFrom, t.WarmUp, t.FallMultiple, t.FallSpan,
-		t.MaxTries, t.Rationed, t.FreeTries, t.TryShare, t.TrySpan, t.MaxComeAgain, pr.CrossZone, pr.Move, pr.Probe, pr.OverShare)
+		t.MaxTries, ration, advice, pr.CrossZone, pr.Move, pr.Probe, pr.OverShare)
 	repeats := map[session.Repeat]string{session.Harmless: "harmless", session.Keyed: "keyed", session.Unsafe: "unsafe"}
 	for i, p := range d.Plans {
 		s := d.Site.Plans[i]
-		text += fmt.Sprintf("[[plan]]\nname = %q\nrepeat = %q\nwindow = \"%dus\"\nstartup = \"%dus\"\nabandon = \"%dus\"\nrevenue = %g\nlive = %t\n"+
-			"rate_factor = %g\nfloor = %d\ntop = %d\nseats = %d\n", p.Name, repeats[s.Repeat], s.Window, s.Startup, p.Abandon, s.Revenue, s.Live,
+		text += fmt.Sprintf("[[plan]]\nname = %q\nrepeat = %q\nstartup = \"%dus\"\nabandon = \"%dus\"\nrevenue = %g\nlive = %t\n"+
+			"rate_factor = %g\nfloor = %d\ntop = %d\nseats = %d\n", p.Name, repeats[s.Repeat], s.Startup, p.Abandon, s.Revenue, s.Live,
 			s.RateFactor, s.Floor, s.Top, s.Seats)
+		if s.Repeat == session.Keyed {
+			text += fmt.Sprintf("window = \"%dus\"\n", s.Window)
+		}
 		for _, x := range p.Tracks {
 			text += fmt.Sprintf("[[plan.track]]\nmedia = %q\nencoding = %q\npayload = %d\n", x.Media, x.Encoding, x.Payload)
 		}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -229,7 +229,7 @@
 
 // Service is what the day's front of a number is told.
 func (d *Day) Service(number int) *front.Service {
-	s := &front.Service{Name: "front-" + strconv.Itoa(number), Site: d.Site, SessionTimeout: d.Timeout,
+	s := &front.Service{Name: "front-" + strconv.Itoa(number), Site: d.Site, SessionTimeout: d.Timeout, Silent: d.Silent,
 		Kinds: []string{"std"}, Secret: []byte{byte(d.Seed), byte(number)},
 		Bounds: front.Bounds{Connections: 20000, Playbacks: 8000, Pipelined: 16, PlayerBytes: 256 << 10}}
 	for i := range d.Zones {
@@ -240,7 +240,7 @@
 	}
 	if d.Door != nil {
 		t := *d.Door
-		t.Secret = s.Secret
+		t.Secret, t.Silent = s.Secret, d.Silent
 		for _, p := range d.Site.Plans {
 			t.Startup = max(t.Startup, p.Startup)
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,8 @@
 // Span is a time as people write it: 1.5s, 800ms.
 type Span core.Time
 
+func (s Span) String() string { return (time.Duration(s) * time.Microsecond).String() }
+
 // UnmarshalText reads a span.
 func (s *Span) UnmarshalText(b []byte) error {
 	d, err := time.ParseDuration(string(b))
@@ -205,6 +207,7 @@
 	NoteDelay   Span    `toml:"note_delay" validate:"gt=0"`
 	NoteEvery   Span    `toml:"note_every" validate:"gte=0"`
 	Load        string  `toml:"load" validate:"oneof=answers probes none"`
+	Uplinks     string  `toml:"uplinks" validate:"omitempty,oneof=told untold"` // told if empty
 	Kinds       []Kind  `toml:"kind" validate:"min=1,unique=Name,dive"`
 }
 
@@ -227,6 +230,7 @@
 	TrySpan      Span    `toml:"try_span" validate:"required_if=Rationed true"`
 	Probes       bool    `toml:"probes"`
 	MaxComeAgain Span    `toml:"max_come_again"`
+	Advice       *bool   `toml:"advice"` // whether rejections may say when to come again; left out, they may
 }
 
 // Prices are parts of the whole result.
@@ -235,6 +239,7 @@
 	Move      float64 `toml:"move" validate:"gte=0,lte=1"`
 	Probe     float64 `toml:"probe" validate:"gte=0,lte=1"`
 	OverShare float64 `toml:"over_share" validate:"gte=0,lte=1"`
+	WorstPlan float64 `toml:"worst_plan" validate:"gte=0,lt=1"`
 }
 
 // Mistakes are all that is wrong with a file: one line each, with the key's path.
@@ -312,6 +317,8 @@
 		return "at least " + p + " is expected"
 	case "gt":
 		return "more than " + p + " is expected"
+	case "lt":
+		return "less than " + p + " is expected"
 	case "lte":
 		return "at most " + p + " is expected"
 	case "min":
@@ -385,6 +392,36 @@
 			bad = append(bad, fmt.Sprintf("plan[%d].window: a time is expected, as repeat is keyed", i))
 		}
 	}
+	return append(bad, s.mixed()...)
+}
+
+// silent tells whether no rejection may say when to come again.
+func (s *Site) silent() bool { return s.Terms.Advice != nil && !*s.Terms.Advice }
+
+// mixed finds keys of one shape of deployment beside those of another, where one of them could not hold.
+func (s *Site) mixed() (bad Mistakes) {
+	t, f := &s.Terms, &s.Fleet
+	none := func(clash bool, key string, found any, why string) {
+		if clash {
+			bad = append(bad, fmt.Sprintf("%s: %v found, but none is expected, as %s", key, found, why))
+		}
+	}
+	none(s.silent() && t.MaxComeAgain > 0, "terms.max_come_again", t.MaxComeAgain, "terms.advice is false")
+	none(s.silent() && s.Door != nil && s.Door.Secret != "", "door.secret", "one", "terms.advice is false and nothing is promised")
+	if !t.Probes && f.Load == "probes" {
+		bad = append(bad, "fleet.load: probes found, but answers or none is expected, as terms.probes is false")
+	}
+	none(!t.Probes && s.Prices.Probe > 0, "prices.probe", s.Prices.Probe, "terms.probes is false")
+	none(f.Load != "answers" && f.NoteEvery > 0, "fleet.note_every", f.NoteEvery, "fleet.load is "+f.Load)
+	none(!t.Rationed && t.FreeTries > 0, "terms.free_tries", t.FreeTries, "terms.rationed is false")
+	none(!t.Rationed && t.TryShare > 0, "terms.try_share", t.TryShare, "terms.rationed is false")
+	none(!t.Rationed && t.TrySpan > 0, "terms.try_span", t.TrySpan, "terms.rationed is false")
+	for i, p := range s.Plans {
+		if p.Repeat == "unsafe" { // a key's figures would promise a repeat
+			none(p.Window > 0, fmt.Sprintf("plan[%d].window", i), p.Window, "repeat is "+p.Repeat)
+			none(p.Scope != "", fmt.Sprintf("plan[%d].scope", i), p.Scope, "repeat is "+p.Repeat)
+		}
+	}
 	return bad
 }
 
@@ -395,7 +432,7 @@
 		return nil, fair.Limits{}
 	}
 	t := &fair.Terms{Waiting: d.Waiting, Bytes: d.Bytes, Tenants: d.Tenants, Clients: d.Clients, Secret: secret,
-		Longest: core.Time(s.Terms.MaxComeAgain), Weights: map[string]float64{}}
+		Longest: core.Time(s.Terms.MaxComeAgain), Silent: s.silent(), Weights: map[string]float64{}}
 	if d.Secret != "" {
 		t.Secret = []byte(d.Secret)
 	}
@@ -471,7 +508,7 @@
 
 // Service is what a front is told. The secret of its session ids is the caller's.
 func (s *Site) Service(secret []byte) *front.Service {
-	v := &front.Service{Name: s.Name, Zones: s.Zones, SessionTimeout: core.Time(s.SessionTimeout), Secret: secret,
+	v := &front.Service{Name: s.Name, Zones: s.Zones, Silent: s.silent(), SessionTimeout: core.Time(s.SessionTimeout), Secret: secret,
 		Bounds: front.Bounds{Connections: s.Bounds.Connections, Playbacks: s.Bounds.Playbacks,
 			Pipelined: s.Bounds.Pipelined, PlayerBytes: s.Bounds.PlayerBytes}}
 	v.Queue, v.Limits = s.Queue(secret)
@@ -482,13 +519,13 @@
 		Fleet: session.Fleet{Cells: f.Cells, Racks: f.Racks, LinksKB: f.LinksKB, UplinkKB: f.UplinkKB,
 			KBPerWeight: f.KBPerWeight, WeightsTold: f.KBPerWeight > 0, FullFrom: f.FullFrom,
 			NoteDelay: core.Time(f.NoteDelay), NoteEvery: core.Time(f.NoteEvery), LoadInAnswers: f.Load == "answers",
-			LoadInProbes: f.Load != "none"},
+			LoadInProbes: f.Load != "none", UplinkUntold: f.Uplinks == "untold"},
 		Terms: session.Terms{ColdFrom: t.ColdFrom, WarmUp: core.Time(t.WarmUp), FallMultiple: t.FallMultiple,
 			FallSpan: core.Time(t.FallSpan), MaxTries: t.MaxTries, Rationed: t.Rationed, FreeTries: t.FreeTries,
 			TryShare: t.TryShare, TrySpan: core.Time(t.TrySpan), Probes: t.Probes,
 			MaxComeAgain: core.Time(t.MaxComeAgain)},
 		Prices: session.Prices{CrossZone: s.Prices.CrossZone, Move: s.Prices.Move, Probe: s.Prices.Probe,
-			OverShare: s.Prices.OverShare}}
+			OverShare: s.Prices.OverShare, WorstPlan: s.Prices.WorstPlan}}
 	for _, k := range f.Kinds {
 		v.Kinds = append(v.Kinds, k.Name)
 		v.Site.Fleet.Places = append(v.Site.Fleet.Places, k.Places)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"pierlink/session"
 )
 
 const sample = "../../deploy/pierlink.toml"
@@ -44,26 +46,70 @@
 		"[prices]|[prices]\nluck = 3":                          "prices.luck: unknown key",
 		"name = \"recorded-lesson\"|name = \"live-lesson\"":    "plan: no two alike",
 		"[ladder]|[ladder":                                     "file: line",
+		"probes = true|advice = false":                         "terms.max_come_again: 2s found, but none is expected, as terms.advice is false",
+		"# secret = \"...\"|secret = \"0123456789abcdef\"\n#|max_come_again = \"2s\"|advice = false": "door.secret: one found, but none is expected, as terms.advice",
+		"probes = true|probes = false":                                      "prices.probe: 0.01 found, but none is expected, as terms.probes is false",
+		"load = \"answers\"|load = \"probes\"":                              "fleet.note_every: 2s found, but none is expected, as fleet.load is probes",
+		"probes = true|probes = false|load = \"answers\"|load = \"probes\"": "fleet.load: probes found, but answers or none is expected, as terms.probes is false",
+		"probes = true|free_tries = 5":                                      "terms.free_tries: 5 found, but none is expected, as terms.rationed is false",
+		"probes = true|try_share = 0.2":                                     "terms.try_share: 0.2 found",
+		"probes = true|try_span = \"10s\"":                                  "terms.try_span: 10s found",
+		"probes = true|rationed = true":                                     "terms.try_span: a value is expected",
+		"repeat = \"harmless\"|repeat = \"unsafe\"\nwindow = \"5s\"":        "plan[0].window: 5s found, but none is expected, as repeat is unsafe",
+		"repeat = \"harmless\"|repeat = \"unsafe\"\nscope = \"zone\"":       "plan[0].scope: zone found",
+		"load = \"answers\"|load = \"answers\"\nuplinks = \"some\"":         "fleet.uplinks: one of told, untold",
+		"over_share = 0.1|over_share = 0.1\nworst_plan = 1":                 "prices.worst_plan: less than 1",
 	} {
-		from, to, _ := strings.Cut(change, "|")
-		if !strings.Contains(string(text), from) {
-			t.Fatalf("%q is not in the sample", from)
-		}
-		file := filepath.Join(t.TempDir(), "s.toml")
-		if err := os.WriteFile(file, []byte(strings.Replace(string(text), from, to, 1)), 0o600); err != nil {
-			t.Fatal(err)
+		changed := string(text)
+		for words := strings.Split(change, "|"); len(words) > 0; words = words[2:] {
+			if !strings.Contains(changed, words[0]) {
+				t.Fatalf("%q is not in the sample", words[0])
+			}
+			changed = strings.Replace(changed, words[0], words[1], 1)
 		}
-		if _, err := Read(file); err == nil || !strings.Contains(err.Error(), want) {
-			t.Errorf("%q: %v, not %q", to, err, want)
+		if _, err := read(t, changed); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, not %q", change, err, want)
 		}
 	}
 	all := strings.NewReplacer("front = 0 ", "front = 7 ", "places = 100", "places = 0", "live = true", "live = true\nodd = 1")
+	if _, err := read(t, all.Replace(string(text))); err == nil || strings.Count(err.Error(), "\n") != 2 {
+		t.Errorf("three mistakes: %v", err)
+	}
+}
+
+func read(t *testing.T, text string) (*Site, error) {
 	file := filepath.Join(t.TempDir(), "s.toml")
-	if err := os.WriteFile(file, []byte(all.Replace(string(text))), 0o600); err != nil {
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Read(file); err == nil || strings.Count(err.Error(), "\n") != 2 {
-		t.Errorf("three mistakes: %v", err)
+	return Read(file)
+}
+
+// What the sample does not name is as before the keys were there; a file of the new shape reaches the decisions.
+func TestShapes(t *testing.T) {
+	text, err := os.ReadFile(sample)
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, err := read(t, string(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v := old.Service(nil); v.Silent || v.Queue.Silent || v.Site.Fleet.UplinkUntold || v.Site.Prices.WorstPlan != 0 || v.Site.Terms.Rationed {
+		t.Errorf("the sample: %+v", v)
+	}
+	fresh := strings.NewReplacer("max_come_again = \"2s\"", "advice = false\nrationed = true\nfree_tries = 5\ntry_share = 0.2\ntry_span = \"10s\"",
+		"load = \"answers\"", "load = \"answers\"\nuplinks = \"untold\"", "probes = true", "probes = false", "probe = 0.01", "worst_plan = 0.2",
+		"revenue = 2", "revenue = 2\nseats = 3", "repeat = \"harmless\"\nstartup = \"1.5s\"", "repeat = \"unsafe\"\nstartup = \"1.5s\"")
+	s, err := read(t, fresh.Replace(string(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := s.Service(nil)
+	x := v.Site.Terms
+	if !v.Silent || !v.Queue.Silent || !v.Site.Fleet.UplinkUntold || v.Site.Prices.WorstPlan != 0.2 || x.Probes || x.MaxComeAgain != 0 ||
+		!x.Rationed || x.FreeTries != 5 || x.TrySpan != 10_000_000 || v.Site.Plans[0].Seats != 3 || v.Site.Plans[0].Repeat != session.Unsafe {
+		t.Errorf("the new shape: %+v", v)
 	}
 }
 
--- a/internal/simwire/start.go
+++ b/internal/simwire/start.go
@@ -80,7 +80,7 @@
 			KBPerWeight: d.KBPerWeight, WeightsTold: w.WeightKind != "silent", Places: d.KindSlots,
 			FullFrom: d.RefusesFrom, NoteDelay: micros(d.SeenAfter), NoteEvery: micros(d.ToldEvery),
 			LoadInAnswers: w.LoadReport.Source == "piggyback", LoadInProbes: w.LoadReport.Source != "silent",
-			UplinkTold: w.LoadReport.Source != "silent" && slices.Contains(w.LoadReport.Names, "x1")},
+			UplinkUntold: w.LoadReport.Source == "silent" || !slices.Contains(w.LoadReport.Names, "x1")},
 		Terms: session.Terms{ColdFrom: w.Rules.ColdFrom, WarmUp: micros(w.Rules.WarmUp),
 			FallMultiple: w.Rules.FallMultiple, FallSpan: micros(w.Rules.OverloadFor),
 			AskWithin: micros(w.Rules.AskWithin), MaxTries: w.Limits.MaxAttempts,
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -70,7 +70,7 @@
 
 // others is what other fronts usually ask; of an uplink that no report tells it is what its links are asked.
 func (g *gauge) others(f *front) float64 {
-	if f.Fleet.UplinkTold || g.usual != &f.uplinks {
+	if !f.Fleet.UplinkUntold || g.usual != &f.uplinks {
 		return g.usual.fill(f)
 	}
 	kb := -g.own
@@ -89,7 +89,7 @@
 
 // widen takes such an uplink for wider while none of this front's playbacks behind it is told to be short.
 func (f *front) widen(g *gauge, tick Time) {
-	if f.Fleet.UplinkTold || g.own == 0 || f.now-g.shortAt < shows*f.Fleet.NoteDelay+session.Second {
+	if !f.Fleet.UplinkUntold || g.own == 0 || f.now-g.shortAt < shows*f.Fleet.NoteDelay+session.Second {
 		return
 	}
 	x := g.fill(f)
@@ -283,7 +283,7 @@
 	if srv, rung = f.open(pb, true); rung >= 0 {
 		if run != nil && f.Prices.CrossZone > f.Prices.Move {
 			for _, m := range run.members { // they come back as requests and join the local stream
-				m.wantMove = m.plays
+				m.wantMove = m.plays && f.Plans[m.Plan].Repeat != session.Unsafe // it would be paid again
 				f.touch(m)
 			}
 		}
@@ -596,7 +596,7 @@
 	if share >= served && known <= 1 {
 		return
 	}
-	if g != &s.link && !f.Fleet.UplinkTold {
+	if g != &s.link && f.Fleet.UplinkUntold {
 		g.fit(f, 1/max(share, 0.1))
 	} else {
 		nearer := f.now-g.readAt < f.Fleet.NoteEvery && known > 1/share-knew // this one is smoothed
--- a/session/session.go
+++ b/session/session.go
@@ -179,7 +179,7 @@
 	NoteDelay, NoteEvery Time
 	LoadInAnswers        bool
 	LoadInProbes         bool
-	UplinkTold           bool // load tells of uplinks too
+	UplinkUntold         bool // load tells of links alone
 }
 
 // Terms are the figures of the six rules.
