--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,7 +23,6 @@
 	swing      = 0.08                // chance added to the fill, so that fronts do not all pick the same server
 	gather     = 0.30                // the same for live titles, but equal at all fronts
 	probeSpend = 0.01                // probes may cost this part of the whole result
-	ownFirst   = 8                   // a server with own playbacks is probed so many times as often as others
 	coldShare  = 0.75                // of the cold budget, for the unknown shape of the ramp
 	changePays = 2.0                 // a step up must earn its cost so many times
 	buckets    = 8                   // of a ring's span
@@ -593,8 +592,8 @@
 		g, behind = &f.racks[s.rack], func(x int) bool { return f.servers[x].rack == s.rack }
 	}
 	known := g.fill(f)
-	if share >= served && known <= 1 {
-		return
+	if share >= served && (known <= 1 || f.Fleet.NoteEvery == 0) {
+		return // where no notes follow, an end would be taken for brimful for long
 	}
 	if g != &s.link && f.Fleet.UplinkUntold {
 		g.fit(f, 1/max(share, 0.1))
@@ -743,28 +742,6 @@
 			f.seen(s) // the look takes too long
 		}
 	}
-	f.probe()
-}
-
-// probe asks the server heard of longest ago, own playbacks' first, where load comes no other way.
-func (f *front) probe() {
-	for !f.Fleet.LoadInAnswers && f.probing() {
-		stale, most := -1, Time(0)
-		for i := range f.servers {
-			s := &f.servers[i]
-			age := f.now - max(s.link.readAt, s.probedAt)
-			if len(s.streams) > 0 {
-				age *= ownFirst
-			}
-			if s.entry.State == session.Ready && !s.probeOut && age > most {
-				stale, most = i, age
-			}
-		}
-		if stale < 0 {
-			return
-		}
-		f.ask(stale)
-	}
 }
 
 // Settle emits the difference between what is wanted and what is out.
