A rush is counted before any reading shows it

Now a front takes what it set up since news could last come, beyond what ended and two playbacks by chance, for what the others did too. Holds for any rush that all meet: returning viewers after a loss, a burst, a crowd.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,6 +35,7 @@
 	shows      = 2                   // note delays until a step, or the end of a shortage, shows in the readings
 	served     = 0.98                // share of its rate from which a playback loses nothing
 	even       = 0.30                // so far behind the others a plan counts as the worst in full
+	rush       = 2                   // playbacks at the middle rung that one front may set up by chance
 	widest     = 2                   // an untold uplink is taken to give so many times the mean at most
 	never      = math.MinInt64 / 4   // a moment long before any clock
 )
@@ -127,7 +128,13 @@
 }
 
 // At begins a turn. One that comes late finds news that is older than it looks.
-func (f *front) At(now Time) { f.now, f.late = now, max(now-f.wakeAt, 0) }
+func (f *front) At(now Time) {
+	f.now, f.late = now, max(now-f.wakeAt, 0)
+	// A rush meets all fronts at once, whatever its cause, before a reading shows it: what this front set up of
+	// late beyond what ended, less a few by chance, the others are taken to have set up too.
+	usual := f.links.own*float64(f.newsSpan())/f.life + rush*f.Ladder.RateKB[len(f.Ladder.RateKB)/2]
+	f.unseen = max(f.added.Least(now)-usual, 0) * float64(f.Fronts-1) / f.Fleet.LinksKB
+}
 
 // Listed follows the list of servers.
 func (f *front) Listed(l session.List) {
@@ -203,7 +210,7 @@
 	if f.now < s.coldUntil {
 		link *= f.Terms.ColdFrom
 	}
-	return max(s.link.fill(f)+kb/link, k.fill(f)+kb/k.kb)
+	return max(s.link.fill(f)+kb/link, k.fill(f)+kb/k.kb) + f.unseen
 }
 
 // mark is how full a link may get by a step that earns so much for the rate it adds: it leaves room for steps
@@ -374,6 +381,7 @@
 			if pb.tries > 1 {
 				f.extra.Add(f.now, 1)
 			}
+			f.added.Add(f.now, f.rate(pb.Plan, rung))
 			f.hold(pb, srv)
 			f.servers[srv].cold.Add(f.now, 1)
 			return
--- a/policy/state.go
+++ b/policy/state.go
@@ -100,11 +100,13 @@
 		tenants         []meter.Count
 		plans           []service
 		taken, extra    meter.Count
-		typical         float64 // setup time
-		life            float64 // of a playback
-		price           float64 // of room: what the best step left untaken earns for a kB
-		slowest         Time    // longest startup target
-		best            float64 // revenue for a kB at the densest floor
+		added           meter.Count // kB of set-ups since news of links could last show them
+		unseen          float64     // fill that the others are taken to have added meanwhile
+		typical         float64     // setup time
+		life            float64     // of a playback
+		price           float64     // of room: what the best step left untaken earns for a kB
+		slowest         Time        // longest startup target
+		best            float64     // revenue for a kB at the densest floor
 		wakeAt, wokenAt Time
 		watchAt         Time    // when to subscribe
 		takes, probes   float64 // playbacks taken, probes sent
@@ -126,6 +128,7 @@
 	for i := range f.tenants {
 		f.tenants[i] = meter.NewCount(tenantSpan, buckets)
 	}
+	f.added = meter.NewCount(f.newsSpan(), buckets)
 	f.taken = meter.NewCount(site.Terms.TrySpan, buckets)
 	f.extra = meter.NewCount(site.Terms.TrySpan, buckets)
 	return f
@@ -136,6 +139,11 @@
 	return gauge{kb: kb, usual: u, shortAt: never, steppedAt: never, past: past}
 }
 
+// newsSpan is how old news of a link may be before the next comes.
+func (f *front) newsSpan() Time {
+	return f.Fleet.NoteDelay + max(f.Fleet.NoteEvery, 2*f.Fleet.NoteDelay)
+}
+
 func (f *front) worth(rung int) float64      { return f.Ladder.Worth[rung] }
 func (f *front) rate(plan, rung int) float64 { return f.Ladder.RateKB[rung] * f.Plans[plan].RateFactor }
 
