Playbacks join a running stream up to where a shortage is relieved

Cause: a join had to fit under the brim, as an opening; a viewer turned from its stream at 0.9 then opened another elsewhere, for the whole rate in place of 0.15 to 0.3 of it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,7 +35,7 @@
 	shows      = 2                   // note delays until a step, or the end of a shortage, shows in the readings
 	served     = 0.98                // share of its rate from which a playback loses nothing
 	even       = 0.30                // so far behind the others a plan counts as the worst in full
-	rush       = 2                   // playbacks at the middle rung that one front may set up by chance
+	rush       = 2                   // times what one front's set-ups differ by chance
 	widest     = 2                   // an untold uplink is taken to give so many times the mean at most
 	never      = math.MinInt64 / 4   // a moment long before any clock
 )
@@ -132,8 +132,10 @@
 	f.now, f.late = now, max(now-f.wakeAt, 0)
 	// A rush meets all fronts at once, whatever its cause, before a reading shows it: what this front set up of
 	// late beyond what ended, less a few by chance, the others are taken to have set up too.
-	usual := f.links.own*float64(f.newsSpan())/f.life + rush*f.Ladder.RateKB[len(f.Ladder.RateKB)/2]
-	f.unseen = max(f.added.Least(now)-usual, 0) * float64(f.Fronts-1) / f.Fleet.LinksKB
+	kb := f.Ladder.RateKB[len(f.Ladder.RateKB)/2]
+	usual := f.links.own / kb * float64(f.newsSpan()) / f.life
+	beyond := f.added.Least(now)/kb - usual - rush*math.Sqrt(usual+1)
+	f.unseen = max(beyond, 0) * kb * float64(f.Fronts-1) / f.Fleet.LinksKB
 }
 
 // Listed follows the list of servers.
@@ -210,7 +212,8 @@
 	if f.now < s.coldUntil {
 		link *= f.Terms.ColdFrom
 	}
-	return max(s.link.fill(f)+kb/link, k.fill(f)+kb/k.kb) + f.unseen
+	part := min(float64(f.now-s.link.readAt)/float64(f.newsSpan()), 1)
+	return max(s.link.fill(f)+kb/link, k.fill(f)+kb/k.kb) + f.unseen*part
 }
 
 // mark is how full a link may get by a step that earns so much for the rate it adds: it leaves room for steps
@@ -273,7 +276,7 @@
 			}
 			kb := f.rate(pb.Plan, st.rung) * f.Ladder.Join
 			full := f.fullness(s, kb)
-			if full <= f.mark(f.worth(st.rung)*f.revenue(pb)/kb) &&
+			if full <= relieved && // it asks a part of what one more stream would
 				(run == nil || run.opened && !st.opened || run.opened == st.opened &&
 					(st.rung > run.rung || st.rung == run.rung && full < room)) {
 				run, room = st, full
