--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -707,7 +707,6 @@
 	p.stage.Call(b.name, func(c core.Core) {
 		if x, ok := c.(*mediabox.Box); ok {
 			x.Down()
-			x.Trouble.Deaf = silent
 		}
 		p.stage.At(p.stage.Now(), func() { p.stage.Kill(b.name, silent) })
 	})
@@ -732,6 +731,7 @@
 			p.Tally.Fell += x.Counts.Fell
 			p.Tally.Setups += x.Counts.Setups
 			p.sent += x.Counts.Packets
+			x.Trouble.Deaf = true // counted: it sends nothing more in this moment
 		}
 	})
 }
