--- a/policy/policy.go
+++ b/policy/policy.go
@@ -127,6 +127,11 @@
 	g.base, g.known, g.readAt = (1-w)*x+w*g.base, true, f.now
 }
 
+// newsSpan is how old news of a link may be before the next comes.
+func (f *front) newsSpan() Time {
+	return f.Fleet.NoteDelay + max(f.Fleet.NoteEvery, shows*f.Fleet.NoteDelay)
+}
+
 // At begins a turn. One that comes late finds news that is older than it looks.
 func (f *front) At(now Time) {
 	f.now, f.late = now, max(now-f.wakeAt, 0)
--- a/policy/state.go
+++ b/policy/state.go
@@ -139,11 +139,6 @@
 	return gauge{kb: kb, usual: u, shortAt: never, steppedAt: never, past: past}
 }
 
-// newsSpan is how old news of a link may be before the next comes.
-func (f *front) newsSpan() Time {
-	return f.Fleet.NoteDelay + max(f.Fleet.NoteEvery, 2*f.Fleet.NoteDelay)
-}
-
 func (f *front) worth(rung int) float64      { return f.Ladder.Worth[rung] }
 func (f *front) rate(plan, rung int) float64 { return f.Ladder.RateKB[rung] * f.Plans[plan].RateFactor }
 
