Plans' service stays a mean where playbacks are short against a tick

Found on reading over: with a warm-up, or playbacks, shorter than a quarter of a note's delay the fading of what plans earned turned into growth, overflowed within a minute and the worst-served plan no longer weighed (a scenario opens it a rung lower without the change).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -607,18 +607,18 @@
 	if f.racks[s.rack].fill(f) > g.fill(f) {
 		g, behind = &f.racks[s.rack], func(x int) bool { return f.servers[x].rack == s.rack }
 	}
-	known := g.fill(f)
-	if share >= served && (known <= 1 || f.Fleet.NoteEvery == 0) {
+	known, asked := g.fill(f), 1/max(share, 0.1)
+	if share >= served && (known <= 1 || !f.Fleet.LoadInAnswers) {
 		return // where no notes follow, an end would be taken for brimful for long
 	}
 	if g != &s.link && f.Fleet.UplinkUntold {
-		g.fit(f, 1/max(share, 0.1))
+		g.fit(f, asked)
 	} else {
-		nearer := f.now-g.readAt < f.Fleet.NoteEvery && known > 1/share-knew // this one is smoothed
-		if nearer || share < served && known >= 1/share {
+		nearer := f.now-g.readAt < f.Fleet.NoteEvery && known > asked-knew // this one is smoothed
+		if nearer || share < served && known >= asked {
 			return
 		}
-		g.read(f, 1/max(share, 0.1), then)
+		g.read(f, asked, then)
 	}
 	f.relieve(g, behind)
 }
@@ -676,7 +676,7 @@
 	s := &f.servers[i]
 	k := &f.racks[s.rack]
 	if s.entry.State != session.Ready || f.now < max(s.shunUntil, s.coldUntil) ||
-		!s.link.known && f.Fleet.NoteEvery > 0 ||
+		!s.link.known && f.Fleet.LoadInAnswers ||
 		f.now-max(s.link.shortAt, k.shortAt, s.link.steppedAt, k.steppedAt) < shows*f.Fleet.NoteDelay {
 		return
 	}
@@ -696,7 +696,7 @@
 		if pick == nil {
 			return
 		}
-		if f.Fleet.NoteEvery == 0 && !f.heard(s) && f.probing() { // the answer decides
+		if !f.Fleet.LoadInAnswers && !f.heard(s) && f.probing() { // the answer decides
 			f.ask(i)
 			return
 		}
@@ -706,7 +706,8 @@
 }
 
 // weighPlans gives the plan served worst the weight that the site counts it with beside the whole.
-func (f *front) weighPlans(step float64) {
+func (f *front) weighPlans(tick Time) {
+	step := float64(tick) / (float64(tick) + f.life) // under 1, however short playbacks are against a tick
 	for i := range f.plans {
 		f.plans[i].asked *= 1 - step
 		f.plans[i].earned *= 1 - step
@@ -748,7 +749,7 @@
 		}
 	}
 	f.price += (most - f.price) * follow
-	f.weighPlans(float64(f.wakeAt-f.now) / f.life)
+	f.weighPlans(f.wakeAt - f.now)
 	for i := range f.racks {
 		f.widen(&f.racks[i], f.wakeAt-f.now)
 	}
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -98,6 +98,7 @@
 		"keyed":    func() { one.Repeat, one.Scope = session.Keyed, session.Scope(x) },
 		"uplink":   func() { s.site.Fleet.UplinkKB = x },
 		"paidlive": func() { s.site.Plans[0].Repeat = session.Unsafe },
+		"warmup":   func() { s.site.Terms.WarmUp = Time(x * 1e6) },
 		"nonotes":  func() { s.site.Fleet.LoadInAnswers, s.site.Fleet.NoteEvery = false, 0 },
 		"untold":   func() { s.site.Fleet.UplinkUntold = true },
 		"silent":   func() { s.site.Terms.MaxComeAgain = 0 },
