--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -237,6 +237,32 @@
 	}
 }
 
+// Where nothing may be told, neither the queue nor the module's rejection says when to come again, nor does an early
+// token of a queue that did.
+func TestSilent(t *testing.T) {
+	told := limited(terms(1), 1)
+	told.At(sec)
+	_, token := told.Refuse("a", "1")
+	silent := terms(1)
+	silent.Silent = true
+	b := newBench(silent, 1)
+	for i := range 50 {
+		b.ask("a", strconv.Itoa(i%3), token)
+	}
+	b.settle()
+	if b.refused["a"] == 0 || token == "" {
+		t.Fatal("nothing was refused", b.refused, token)
+	}
+	for id, v := range b.of {
+		if v.ComeAgain != 0 || v.Token != "" {
+			t.Errorf("%d is told %+v", id, v)
+		}
+	}
+	if after, token := b.q.Refuse("a", "9"); after != 0 || token != "" {
+		t.Error(after, token)
+	}
+}
+
 // The window follows what the module takes, shrinks at once when that does, and opens up again.
 func TestPace(t *testing.T) {
 	q := New(terms(1000), 0)
--- a/internal/lab/notation.go
+++ b/internal/lab/notation.go
@@ -306,7 +306,7 @@
 	f.Tick, f.PacketBytes = w.span("tick", 0.1), w.count("packet", 1200)
 	f.NoteDelay, f.NoteAll = w.span("notedelay", 0.5), w.span("noteevery", 2)
 	d.ByProbes = w.text("load", "answers") == "probes"
-	f.LoadInAnswers = !d.ByProbes
+	f.LoadInAnswers, f.UplinkUntold = !d.ByProbes, w.text("uplinks", "told") == "untold"
 	d.NoticeSpread, d.LostNotice = w.span("spread", 0.3), w.span("notice", 1.5)
 	f.KeepsAfterConnClose = w.text("keeps", "") != ""
 }
@@ -432,7 +432,10 @@
 	d.Site.Fleet = session.Fleet{Cells: d.Boxes, Racks: d.Racks, LinksKB: d.Frame.LinkKB * float64(d.Boxes),
 		UplinkKB: d.UplinkKB, KBPerWeight: d.Frame.LinkKB, WeightsTold: true, Places: []float64{float64(d.Frame.Places)},
 		FullFrom: d.Frame.FullFrom, NoteDelay: d.Frame.NoteDelay, NoteEvery: d.Frame.NoteAll,
-		LoadInAnswers: !d.ByProbes, LoadInProbes: true}
+		LoadInAnswers: !d.ByProbes, LoadInProbes: true, UplinkUntold: d.Frame.UplinkUntold}
+	if d.ByProbes {
+		d.Site.Fleet.NoteEvery = 0
+	}
 	for i := range d.Site.Plans {
 		p := &d.Site.Plans[i]
 		p.Top = min(p.Top, len(d.Frame.LadderKB)-1)
--- a/internal/standin/mediabox/mediabox.go
+++ b/internal/standin/mediabox/mediabox.go
@@ -64,6 +64,7 @@
 	PacketBytes         int
 	NoteDelay, NoteAll  Time // notes come so late; link and uplink every so long, 0 for never
 	LoadInAnswers       bool
+	UplinkUntold        bool    // load is of the link alone
 	Started             Time    // this start, 0 for long ago
 	WarmUp              Time    // cold for so long
 	ColdFrom            float64 // part of its places that it takes at its start
@@ -339,7 +340,9 @@
 
 func (b *Box) load() string {
 	if !b.Trouble.KeepLoad || b.lastLoad == "" {
-		b.lastLoad = "link=" + num(b.fill()) + ";uplink=" + num(b.Rack.Fill())
+		if b.lastLoad = "link=" + num(b.fill()); !b.UplinkUntold {
+			b.lastLoad += ";uplink=" + num(b.Rack.Fill())
+		}
 	}
 	return b.lastLoad
 }
@@ -604,7 +607,15 @@
 		notes = append(notes, rtsp.Field{Name: "delivered", Value: num(share)})
 	}
 	b.short = share < 0.98
-	notes = append(notes, rtsp.Field{Name: "link", Value: num(b.fill())}, rtsp.Field{Name: "uplink", Value: num(b.Rack.Fill())})
+	if b.LoadInAnswers {
+		notes = append(notes, rtsp.Field{Name: "link", Value: num(b.fill())})
+	}
+	if b.LoadInAnswers && !b.UplinkUntold {
+		notes = append(notes, rtsp.Field{Name: "uplink", Value: num(b.Rack.Fill())})
+	}
+	if len(notes) == 0 {
+		return
+	}
 	b.timers.Set(nil, b.now+b.NoteDelay+b.Trouble.ReportLag, func() {
 		if b.Trouble.Deaf || b.fallen {
 			return
