--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,6 +9,7 @@
 	"os"
 
 	"pierlink/internal/simwire"
+	"pierlink/internal/start"
 	"pierlink/policy"
 	"pierlink/session"
 )
@@ -37,14 +38,14 @@
 			d := doors[e.Manager]
 			switch {
 			case e.Code == simwire.EvStart:
-				site, names, err := simwire.Site(e.Info)
+				told, err := start.Read(e.Info)
 				if err != nil {
 					return err
 				}
 				if d != nil {
 					d.module = nil
 				}
-				d = newDoor(e.Manager, names, policy.New(site, e.Seed, b.Now), site, reply)
+				d = newDoor(e.Manager, told.Load, policy.New(told.Site, e.Seed, b.Now), told.Site, reply)
 				doors[e.Manager] = d
 			case d == nil:
 				return fmt.Errorf("event %d for unknown instance %d", e.Code, e.Manager)
@@ -162,7 +163,7 @@
 		m.Woken(e.Token)
 		return nil
 	case simwire.EvProbed:
-		m.Probed(d.server(e.Server), e.Outcome, simwire.Load(d.names, e.Values))
+		m.Probed(d.server(e.Server), e.Outcome, start.Load(d.names, e.Values))
 		return nil
 	case simwire.EvPeer:
 		return nil
@@ -176,7 +177,7 @@
 		m.Playing(pb, e.Try, d.server(e.Server), e.Took)
 	case simwire.EvResult:
 		m.Ended(session.Result{Playback: pb, Try: e.Try, Server: d.server(e.Server), Outcome: e.Outcome,
-			Took: e.Took, Final: e.Final, Load: simwire.Load(d.names, e.Values)})
+			Took: e.Took, Final: e.Final, Load: start.Load(d.names, e.Values)})
 	case simwire.EvLeft:
 		m.Left(pb)
 	case simwire.EvNote:
--- a/cmd/pierlink/main.go
+++ b/cmd/pierlink/main.go
@@ -18,8 +18,16 @@
 	root := &cobra.Command{Use: "pierlink", Short: "A session front for fleets of media servers", SilenceUsage: true,
 		SilenceErrors: true}
 	p := &process{}
+	var onPlatform, traced bool
 	serve := &cobra.Command{Use: "serve", Short: "Run a session manager", Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return p.serve() }}
+		RunE: func(*cobra.Command, []string) error {
+			if onPlatform {
+				return servePlatform(traced)
+			}
+			return p.serve()
+		}}
+	serve.Flags().BoolVar(&onPlatform, "platform", false, "run on the operators' platform, by GW_CONFIG")
+	serve.Flags().BoolVar(&traced, "trace", false, "with --platform: write what passes to standard error")
 	serve.Flags().StringVarP(&p.file, "config", "c", "deploy/pierlink.toml", "settings file")
 	serve.Flags().BoolVar(&p.takeover, "takeover", false, "take the place of the session manager that runs with these settings; it drains")
 	check := &cobra.Command{Use: "check FILE", Short: "Check a settings file and its server list", Args: cobra.ExactArgs(1),
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -16,6 +16,9 @@
 	count uint64
 }
 
+// At is the moment that it was last set to.
+func (t *Timer) At() Time { return t.at }
+
 type timerHeap []*Timer
 
 func (h timerHeap) Len() int { return len(h) }
--- a/internal/edge/door.go
+++ b/internal/edge/door.go
@@ -123,7 +123,13 @@
 		case err == nil && d.keys != nil:
 			l.secure(c, d.keys)
 		case err == nil:
+			l.mu.Lock()
+			l.inside++
+			l.mu.Unlock()
 			if _, err := l.engine.AddConn(c); err != nil {
+				l.mu.Lock()
+				l.inside--
+				l.mu.Unlock()
 				l.starved.Add(1)
 				_ = c.Close()
 			}
@@ -148,7 +154,7 @@
 func (l *Loop) admit() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for len(l.mail) > mailboxEvents && !l.stopped {
+	for (len(l.mail) > mailboxEvents || l.has.Doors > 0 && l.inside >= l.has.Doors) && !l.stopped {
 		l.room.Wait()
 	}
 }
--- a/internal/edge/loop.go
+++ b/internal/edge/loop.go
@@ -22,16 +22,24 @@
 // Now is the clock of cores on sockets: microseconds since 1970.
 func Now() core.Time { return time.Now().UnixMicro() }
 
-const (
-	readSize    = 64 << 10
-	mailboxSize = 16 << 20 // bytes that wait before the readers do; then TCP holds the senders back
-	drainWait   = 5 * time.Second
-)
+const drainWait = 5 * time.Second
+
+// Room is what a loop may hold, and how long it waits for others.
+type Room struct {
+	Read  int           // bytes of a buffer for a piece received
+	Mail  int           // bytes of such buffers that wait before the readers do; then TCP holds the senders back
+	Dials time.Duration // a connection that is not up by then has failed, 0 for any time
+	Doors int           // connections accepted and not closed yet, beyond which the next waits; 0 for any number
+}
+
+// Ample is the room of a loop that has the machine to itself.
+var Ample = Room{Read: 64 << 10, Mail: 256 << 20, Dials: drainWait}
 
 // Loop runs one core on sockets.
 type Loop struct {
 	core   core.Core
 	engine *nbio.Engine
+	has    Room
 	counters
 
 	mu         sync.Mutex
@@ -41,6 +49,7 @@
 	room       sync.Cond
 	mail       []event
 	bytes      int
+	inside     int // accepted and not closed
 	stopped    bool
 	wake       chan struct{}
 	done       chan struct{}
@@ -53,7 +62,8 @@
 	kind  kind
 	sock  *socket
 	nb    wire
-	data  []byte
+	data  *[]byte // a buffer of the pool
+	size  int     // of what is in it
 	err   error
 	where string
 	call  func()
@@ -86,15 +96,21 @@
 // New makes a loop that listens on an address, or nowhere if it is empty. The core is made with the loop
 // as its network.
 func New(addr string, build func(core.Net) core.Core) (*Loop, error) {
-	l := &Loop{wake: make(chan struct{}, 1), done: make(chan struct{}), open: map[*socket]struct{}{}}
+	return NewIn(Ample, addr, build)
+}
+
+// NewIn makes a loop that keeps within a room.
+func NewIn(room Room, addr string, build func(core.Net) core.Core) (*Loop, error) {
+	l := &Loop{has: room, wake: make(chan struct{}, 1), done: make(chan struct{}), open: map[*socket]struct{}{}}
 	l.room.L = &l.mu
-	l.buffers.New = func() any { b := new([readSize]byte); return b }
-	c := nbio.Config{Name: "pierlink", NPoller: 1, ReadBufferSize: readSize, EpollMod: nbio.EPOLLLT}
+	l.buffers.New = func() any { b := make([]byte, room.Read); return &b }
+	c := nbio.Config{Name: "pierlink", NPoller: 1, ReadBufferSize: room.Read, EpollMod: nbio.EPOLLLT}
 	l.engine = nbio.NewEngine(c)
 	l.core = build(l)
 	l.engine.OnOpen(func(nb *nbio.Conn) {
-		if nb.Session() != nil {
-			return // dialed
+		if s, ok := nb.Session().(*socket); ok {
+			l.post(event{kind: dialed, sock: s, nb: nb})
+			return
 		}
 		s := &socket{nb: nb}
 		s.own = &s.conn
@@ -108,10 +124,10 @@
 			return
 		}
 		for len(data) > 0 {
-			b := l.buffers.Get().(*[readSize]byte)
-			n := copy(b[:], data)
+			b := l.buffers.Get().(*[]byte)
+			n := copy(*b, data)
 			data = data[n:]
-			l.post(event{kind: received, sock: s, data: b[:n]})
+			l.post(event{kind: received, sock: s, data: b, size: n})
 		}
 	})
 	l.engine.OnWrittenSize(func(nb *nbio.Conn, _ []byte, n int) {
@@ -126,6 +142,12 @@
 	})
 	l.engine.OnClose(func(nb *nbio.Conn, err error) {
 		if s, ok := nb.Session().(*socket); ok {
+			if s.own == &s.conn {
+				l.mu.Lock()
+				l.inside--
+				l.room.Broadcast()
+				l.mu.Unlock()
+			}
 			l.post(event{kind: closed, sock: s, err: err})
 		}
 	})
@@ -158,11 +180,13 @@
 func (l *Loop) post(e event) {
 	e.at = Now()
 	l.mu.Lock()
-	for (l.bytes > mailboxSize || len(l.mail) > mailboxEvents) && e.kind == received && !l.stopped {
+	for (l.bytes > l.has.Mail || len(l.mail) > mailboxEvents) && e.kind == received && !l.stopped {
 		l.room.Wait()
 	}
 	l.mail = append(l.mail, e)
-	l.bytes += len(e.data)
+	if e.data != nil {
+		l.bytes += l.has.Read // what is held, not what is filled
+	}
 	l.mu.Unlock()
 	select {
 	case l.wake <- struct{}{}:
@@ -277,9 +301,9 @@
 		l.core.Dialed(s.own, nil)
 	case received:
 		if !s.gone {
-			l.core.Received(s.own, e.data)
+			l.core.Received(s.own, (*e.data)[:e.size])
 		}
-		l.buffers.Put((*[readSize]byte)(e.data[:readSize]))
+		l.buffers.Put(e.data)
 	case drained:
 		if !s.gone {
 			l.core.Drained(s.own)
@@ -312,74 +336,34 @@
 		go l.secureTo(s, addr)
 		return
 	}
-	if c.From != "" {
-		go l.dialFrom(s, addr)
-		return
-	}
-	err := l.engine.DialAsync("tcp", addr, func(nb *nbio.Conn, err error) {
-		if err == nil {
-			if err = connected(nb); err == nil {
-				_ = nb.SetNoDelay(true)
-				nb.SetSession(s)
-			} else {
-				_ = nb.Close()
-			}
-		}
-		e := event{kind: dialed, sock: s, err: refused(err)}
-		if nb != nil {
-			e.nb = nb
-		}
-		l.post(e)
-	})
-	if err != nil {
-		l.post(event{kind: dialed, sock: s, err: refused(err)})
-	}
+	go l.dial(s, addr)
 }
 
-// dialFrom connects from an address of its own.
-func (l *Loop) dialFrom(s *socket, addr string) {
-	e := event{kind: dialed, sock: s}
-	c, err := from(s.own.From, addr)
+// dial connects, from an address of its own where it has one. The poller's own way to connect is not taken: it goes
+// to 0.0.0.0 for every address of four bytes. OnOpen tells that the connection is there, before anything comes on it.
+func (l *Loop) dial(s *socket, addr string) {
+	c, err := from(s.own.From, addr, l.has.Dials)
 	if err == nil {
 		var nb *nbio.Conn
 		if nb, err = nbio.NBConn(c); err == nil {
 			nb.SetSession(s)
-			if _, err = l.engine.AddConn(nb); err == nil {
-				e.nb = nb
-			}
+			_, err = l.engine.AddConn(nb)
 		}
 	}
-	e.err = refused(err)
-	l.post(e)
+	if err != nil {
+		l.post(event{kind: dialed, sock: s, err: refused(err)})
+	}
 }
 
 // from dials, from an address unless that is empty.
-func from(own, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: drainWait}
+func from(own, addr string, within time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: within}
 	if own != "" {
 		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(own)}
 	}
 	return d.Dial("tcp", addr)
 }
 
-// connected tells how a connect came out; the poller only knows that it has.
-func connected(nb *nbio.Conn) error {
-	raw, err := nb.SyscallConn()
-	if err != nil {
-		return err
-	}
-	code := 0
-	if e := raw.Control(func(fd uintptr) {
-		code, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
-	}); e != nil {
-		return e
-	}
-	if err == nil && code != 0 {
-		err = syscall.Errno(code)
-	}
-	return err
-}
-
 func refused(err error) error {
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return core.ErrRefused
--- a/internal/edge/secure.go
+++ b/internal/edge/secure.go
@@ -55,7 +55,7 @@
 
 // secureTo connects. The handshake is done with the first bytes; where it fails the connection ends.
 func (l *Loop) secureTo(s *socket, addr string) {
-	c, err := from(s.own.From, addr)
+	c, err := from(s.own.From, addr, l.has.Dials)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			err = core.ErrRefused
@@ -97,9 +97,9 @@
 	for err == nil {
 		var n int
 		if n, err = x.tls.Read(own[:]); n > 0 {
-			b := x.l.buffers.Get().(*[readSize]byte)
-			copy(b[:], own[:n])
-			x.l.post(event{kind: received, sock: x.s, data: b[:n]})
+			b := x.l.buffers.Get().(*[]byte)
+			n = copy(*b, own[:n])
+			x.l.post(event{kind: received, sock: x.s, data: b, size: n})
 		}
 	}
 	x.die()
--- /dev/null
+++ b/internal/platform/life.go
@@ -0,0 +1,50 @@
+package platform
+
+import (
+	"slices"
+	"strings"
+
+	"pierlink/internal/core"
+	"pierlink/internal/platform/boxes"
+	"pierlink/internal/rtsp"
+)
+
+// The platform waits for the longest patience of a viewer, counted as this at least, before it kills.
+const leastStop = 3 * core.Second
+
+// Stop ends the session manager: what comes from here on is refused at once, what has come is decided, and what stands
+// plays on until shortly before the platform kills.
+func (m *Manager) Stop() {
+	if m.stopping > 0 {
+		return
+	}
+	m.stopping = m.now
+	wait := max(slices.Max(m.given.Told.Patience), leastStop)
+	m.timers.Set(nil, m.now+wait, m.close)
+}
+
+// close ends all that is left and then the program, once what was sent is out.
+func (m *Manager) close() {
+	m.over = true
+	all := make([]*call, 0, len(m.calls))
+	for _, c := range m.calls {
+		all = append(all, c)
+	}
+	slices.SortFunc(all, func(a, b *call) int { return strings.Compare(a.id, b.id) })
+	for _, c := range all {
+		if c.phase != standing {
+			if c.phase == trying {
+				m.withdraw(c)
+			}
+			m.answer(c, rtsp.Answer(rtsp.StatusInternal, setupSeq))
+			continue
+		}
+		m.release(c.viewer, c.id, causeReset)
+		m.tell(c.box, &boxes.Message{Op: boxes.End, Call: c.id, Why: causeOver})
+	}
+	m.timers.Set(nil, m.now+sweep, func() {
+		if m.Exit != nil {
+			m.Exit()
+		}
+	})
+}
--- /dev/null
+++ b/internal/platform/servers.go
@@ -0,0 +1,454 @@
+package platform
+
+import (
+	"errors"
+	"slices"
+	"strconv"
+	"strings"
+
+	"pierlink/internal/core"
+	"pierlink/internal/platform/boxes"
+	"pierlink/internal/platform/feed"
+	"pierlink/internal/rtsp"
+	"pierlink/internal/start"
+	"pierlink/session"
+)
+
+// box is a video server, known by its id.
+type box struct {
+	id        uint32
+	name      string
+	index     int // the module's number
+	address   string
+	state     session.ServerState
+	started   core.Time
+	links     []*link
+	standing  map[*call]struct{}
+	tries     int
+	tests     map[string]*core.Timer
+	heard     core.Time
+	dialledAt core.Time
+	goneAt    core.Time
+}
+
+// link is one connection to a server. Set-ups of many playbacks share it.
+type link struct {
+	box     *box
+	conn    *core.Conn
+	reader  boxes.Reader
+	up      bool
+	closing bool
+	stale   bool    // something on it went unanswered: it takes nothing new
+	tries   []*call // whose set-up is on it, or waits for it
+	waiting [][]byte
+	timer   *core.Timer
+	used    core.Time
+}
+
+// listed takes an event of the list.
+func (m *Manager) listed(e feed.Event) {
+	l := session.List{Whole: e.Whole}
+	named := map[uint32]bool{}
+	for _, s := range e.Servers {
+		named[s.ID] = true
+		b := m.boxes[s.ID]
+		if b == nil {
+			if s.State == session.Gone {
+				continue
+			}
+			b = &box{id: s.ID, name: feed.Name(s.ID), standing: map[*call]struct{}{}, tests: map[string]*core.Timer{}, heard: m.now}
+			b.index = len(m.byIndex)
+			if n := len(m.unused); n > 0 {
+				b.index, m.unused = m.unused[n-1], m.unused[:n-1]
+				m.byIndex[b.index] = b
+			} else {
+				m.byIndex = append(m.byIndex, b)
+			}
+			m.boxes[s.ID] = b
+		}
+		restarted := b.started != s.Started && b.address != ""
+		b.state, b.address, b.started = s.State, s.Address, s.Started
+		if restarted {
+			m.cut(b)
+		}
+		l.Entries = append(l.Entries, session.Entry{Server: b.index, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, State: s.State,
+			Started: s.Started, Weight: s.Weight})
+	}
+	ready := 0
+	for id, b := range m.boxes {
+		if e.Whole && !named[id] {
+			b.state = session.Gone
+		}
+		if b.state == session.Gone && b.goneAt == 0 {
+			b.goneAt = m.now
+		} else if b.state != session.Gone {
+			b.goneAt = 0
+			ready++
+		}
+	}
+	m.perBox = min(max(m.given.Sockets/serverShare/max(ready, 1), 1), 4)
+	m.module.Listed(l)
+	m.trace("list %d whole %v %+v", e.Number, e.Whole, e.Servers)
+}
+
+// cut ends all that stood at a server: its process is another one now, or none.
+func (m *Manager) cut(b *box) {
+	for c := range b.standing {
+		m.release(c.viewer, c.id, causeReset)
+		m.ended(c, session.Reset, "")
+	}
+}
+
+// linkTo finds the connection with the fewest set-ups open, or makes one, within the budget.
+func (m *Manager) linkTo(b *box) *link {
+	var best *link
+	for _, l := range b.links {
+		if l.stale {
+			continue
+		}
+		if best == nil || len(l.tries) < len(best.tries) {
+			best = l
+		}
+	}
+	if best == nil || len(best.tries) > 0 && len(b.links) < m.perBox {
+		if l := m.dial(b); l != nil {
+			return l
+		}
+	}
+	if best != nil && m.given.Told.Shared > 0 && len(best.tries) >= m.given.Told.Shared {
+		return nil
+	}
+	return best
+}
+
+func (m *Manager) dial(b *box) *link {
+	if m.links >= m.given.Sockets/serverShare && !m.spareLink() || b.state == session.Gone {
+		return nil
+	}
+	l := &link{box: b, conn: &core.Conn{}, used: m.now}
+	l.conn.Owner = l
+	b.links = append(b.links, l)
+	b.dialledAt = m.now
+	m.links++
+	l.timer = m.timers.Set(nil, m.now+m.given.Told.Connect, func() { m.linkUp(l, errors.New("no connection in time")) })
+	m.net.Dial(l.conn, b.address)
+	return l
+}
+
+// spareLink closes the connection that has carried nothing for longest, where nothing needs it.
+func (m *Manager) spareLink() bool {
+	var pick *link
+	for _, b := range m.boxes {
+		for _, l := range b.links {
+			if len(l.tries) == 0 && (len(b.standing) == 0 || len(b.links) > 1) && len(b.tests) == 0 &&
+				(pick == nil || l.used < pick.used || l.used == pick.used && b.id < pick.box.id) {
+				pick = l
+			}
+		}
+	}
+	if pick != nil {
+		m.closeLink(pick)
+	}
+	return pick != nil
+}
+
+func (m *Manager) closeLink(l *link) {
+	if l.closing {
+		return
+	}
+	l.closing = true
+	l.reader.Stop()
+	m.timers.Stop(l.timer)
+	l.box.links = slices.DeleteFunc(l.box.links, func(x *link) bool { return x == l })
+	m.links--
+	m.net.Close(l.conn)
+}
+
+func (m *Manager) linkUp(l *link, err error) {
+	if l.closing {
+		return
+	}
+	m.timers.Stop(l.timer)
+	b := l.box
+	if err != nil {
+		m.trace("no connection to %s %s: %v", b.name, b.address, err)
+		m.closeLink(l)
+		for _, c := range slices.Clone(l.tries) {
+			m.ended(c, session.NoConnection, "")
+		}
+		m.untested(b, session.NoConnection)
+		if errors.Is(err, core.ErrRefused) {
+			m.cut(b)
+		}
+		return
+	}
+	l.up, b.heard = true, m.now
+	for _, w := range l.waiting {
+		m.net.Send(l.conn, w)
+	}
+	l.waiting = nil
+	for _, c := range slices.Clone(l.tries) {
+		if b.state != session.Ready {
+			m.ended(c, session.NotSent, "")
+			continue
+		}
+		m.offer(c)
+	}
+}
+
+// offer writes a set-up.
+func (m *Manager) offer(c *call) {
+	left := c.timer.At() - m.now
+	c.sent = true
+	c.link.used = m.now
+	m.send(c.link, &boxes.Message{Op: boxes.Offer, Call: c.id, Desc: c.desc, With: map[string]string{"class": c.plan, "key": c.key,
+		"left": strconv.FormatInt(max(left/core.Millisecond, 1), 10), "rung": strconv.Itoa(c.rung)}})
+}
+
+// withdraw takes a set-up off its connection: nothing of it is out at the server then.
+func (m *Manager) withdraw(c *call) {
+	l := c.link
+	c.link = nil
+	if l == nil {
+		return
+	}
+	l.tries = slices.DeleteFunc(l.tries, func(x *call) bool { return x == c })
+	if c.sent && l.up && !l.closing && !c.forgotten {
+		m.send(l, &boxes.Message{Op: boxes.End, Call: c.id, Why: causeOver})
+	}
+	c.sent = false
+	if l.stale && len(l.tries) == 0 {
+		m.closeLink(l)
+	}
+}
+
+func (m *Manager) send(l *link, w *boxes.Message) {
+	m.trace("to %s %s", l.box.name, w.Append(nil))
+	m.net.Send(l.conn, w.Append(nil))
+}
+
+// tell writes what belongs to no connection of its own.
+func (m *Manager) tell(b *box, w *boxes.Message) {
+	var pick *link
+	for _, l := range b.links {
+		if l.up {
+			pick = l
+			break
+		}
+		pick = l
+	}
+	if pick == nil {
+		pick = m.dial(b)
+	}
+	switch {
+	case pick == nil:
+	case pick.up:
+		m.send(pick, w)
+	case len(pick.waiting) < 1024:
+		pick.waiting = append(pick.waiting, w.Append(nil))
+	}
+}
+
+func (m *Manager) test(b *box) {
+	id := m.number()
+	b.tests[id] = m.timers.Set(nil, m.now+m.given.Told.Connect, func() { m.tested(b, id, session.TimedOut, "") })
+	m.tell(b, &boxes.Message{Op: boxes.Test, Call: id, Why: 1})
+	if len(b.links) == 0 {
+		m.queue = append(m.queue, func() { m.untested(b, session.NoConnection) })
+	}
+}
+
+func (m *Manager) tested(b *box, id string, o session.Outcome, load string) {
+	if t, ok := b.tests[id]; ok {
+		m.timers.Stop(t)
+		delete(b.tests, id)
+		m.module.Probed(b.index, o, m.load(load))
+	}
+}
+
+func (m *Manager) untested(b *box, o session.Outcome) {
+	if len(b.links) > 0 {
+		return
+	}
+	for id := range b.tests {
+		m.tested(b, id, o, "")
+	}
+}
+
+// load reads a report: name:value;name:value.
+func (m *Manager) load(text string) session.Load {
+	if text == "" {
+		return session.Load{}
+	}
+	var names []string
+	var values []float64
+	for _, f := range rtsp.Pairs(strings.ReplaceAll(text, ":", "=")) {
+		if v, err := strconv.ParseFloat(f.Value, 64); err == nil && v >= 0 && v < 1e6 {
+			names, values = append(names, f.Name), append(values, v)
+		}
+	}
+	return start.Load(names, values)
+}
+
+func (m *Manager) linkSays(l *link, b []byte) {
+	if l.closing {
+		return
+	}
+	l.box.heard = m.now
+	err := l.reader.Feed(b, func(w *boxes.Message) { m.message(l, w) })
+	if err == nil || l.closing {
+		return
+	}
+	// Where messages begin is not known any more. What ran may stand there: it is taken back on another connection.
+	m.fig.Spoilt++
+	m.trace("spoilt by %s: %v", l.box.name, err)
+	m.linkGone(l, err)
+}
+
+func (m *Manager) linkGone(l *link, err error) {
+	if l.closing {
+		return
+	}
+	b := l.box
+	m.trace("connection to %s gone: %v", b.name, err)
+	m.closeLink(l)
+	for _, c := range slices.Clone(l.tries) {
+		sent := c.sent
+		m.ended(c, session.Reset, "")
+		if sent && b.state != session.Gone {
+			m.tell(b, &boxes.Message{Op: boxes.End, Call: c.id, Why: causeOver})
+		}
+	}
+	m.untested(b, session.Reset)
+	if len(b.links) == 0 && len(b.standing) > 0 {
+		if b.state == session.Gone {
+			m.cut(b)
+		} else {
+			m.dial(b)
+		}
+	}
+}
+
+func (m *Manager) message(l *link, w *boxes.Message) {
+	b := l.box
+	if m.Trace != nil {
+		m.trace("from %s %s", b.name, w.Append(nil))
+	}
+	load := w.With["load"]
+	if w.Op == boxes.Tested {
+		o := session.Failed
+		if w.Why == 1 {
+			o = session.OK
+		}
+		m.tested(b, w.Call, o, load)
+		return
+	}
+	c := m.calls[w.Call]
+	if c == nil || c.box != b || c.phase == asked {
+		return // over by now, or not this manager's
+	}
+	switch w.Op {
+	case boxes.Accept:
+		if c.phase != trying || !c.sent || w.Desc == "" {
+			return
+		}
+		m.accepted(c, w, load)
+	case boxes.End:
+		m.endedBy(c, w.Why, load)
+	case boxes.Info:
+		if c.phase == standing {
+			m.noted(c, w)
+		}
+	}
+}
+
+func (m *Manager) accepted(c *call, w *boxes.Message, load string) {
+	m.timers.Stop(c.timer)
+	l := c.link
+	l.tries = slices.DeleteFunc(l.tries, func(x *call) bool { return x == c })
+	c.link = nil
+	c.box.tries--
+	c.viewer.open--
+	c.viewer.served = true
+	m.front = c.viewer
+	m.held -= len(c.desc)
+	c.desc = ""
+	c.phase = standing
+	c.box.standing[c] = struct{}{}
+	m.fig.Served++
+	m.fig.Tries[session.OK]++
+	a := rtsp.Answer(rtsp.StatusOK, setupSeq).With("Session", c.id)
+	a.Body = []byte(w.Desc)
+	m.say(c.viewer, a)
+	m.module.Playing(c.request.Playback, c.try, c.box.index, m.now-c.since)
+	_ = load // the notes at set-up tell it
+}
+
+func (m *Manager) endedBy(c *call, cause int, load string) {
+	if c.phase == trying {
+		o := session.Reset
+		switch cause {
+		case causeFull:
+			o = session.Full
+		case causeError:
+			o = session.Failed
+		case causeMoot:
+			o = session.NotSent
+		}
+		c.forgotten = true // nothing is left to be withdrawn
+		m.ended(c, o, load)
+		c.forgotten = false
+		return
+	}
+	o := session.Reset
+	switch cause {
+	case causeOver:
+		o = session.OK
+	case causeMoved:
+		o = session.Cancelled
+	}
+	if cause != causeMoved {
+		m.release(c.viewer, c.id, cause)
+	}
+	m.ended(c, o, load)
+}
+
+var notes = map[string]session.NoteKind{"got": session.Delivered, "level": session.RungNow, "port": session.LinkAsked,
+	"spine": session.UplinkAsked}
+
+func (m *Manager) noted(c *call, w *boxes.Message) {
+	kind, ok := notes[w.With["note"]]
+	v, err := strconv.ParseFloat(w.With["value"], 64)
+	if !ok || err != nil || v < 0 || v > 1e6 {
+		return
+	}
+	m.module.Noted(session.Note{Playback: c.request.Playback, Server: c.box.index, Kind: kind, Value: v})
+}
+
+// lookAfter looks for servers that have sessions and say nothing, and forgets those that are gone.
+func (m *Manager) lookAfter() {
+	for id, b := range m.boxes {
+		switch quiet := m.now - b.heard; {
+		case len(b.standing) == 0:
+		case b.state == session.Gone && (len(b.links) == 0 || quiet > lost), quiet > lost:
+			m.cut(b)
+		case quiet > silence && m.now-b.dialledAt > silence/4:
+			if n := len(b.links); n >= m.perBox {
+				for _, l := range b.links {
+					if len(l.tries) == 0 && l.up {
+						m.closeLink(l)
+						break
+					}
+				}
+			}
+			m.dial(b)
+		}
+		if b.state == session.Gone && len(b.standing) == 0 && b.tries == 0 && len(b.tests) == 0 && m.now-b.goneAt > forgiven {
+			for _, l := range slices.Clone(b.links) {
+				m.closeLink(l)
+			}
+			delete(m.boxes, id)
+			m.unused = append(m.unused, b.index)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/viewers.go
@@ -0,0 +1,456 @@
+package platform
+
+import (
+	"errors"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"pierlink/internal/core"
+	"pierlink/internal/platform/boxes"
+	"pierlink/internal/platform/feed"
+	"pierlink/internal/rtsp"
+	"pierlink/session"
+)
+
+// The CSeq that a message has by its method, and the causes that the platform tells.
+const (
+	setupSeq    = 1
+	teardownSeq = 2
+	optionsSeq  = 3
+
+	causeOver  = 16
+	causeMoved = 31
+	causeFull  = 34
+	causeReset = 41
+	causeError = 47
+	causeMoot  = 102
+)
+
+const prefix = "rtsp://media/"
+
+// Messages hold 16 KiB at most.
+var bounds = rtsp.Bounds{Line: 2048, Head: 4096, Fields: 32, Body: boxes.Longest, NoFrames: true}
+
+// viewer is one connection from viewers, which carries many sessions.
+type viewer struct {
+	m       *Manager
+	conn    *core.Conn
+	parser  rtsp.Parser
+	came    core.Time
+	spoke   core.Time // when the last whole message came, 0 for never
+	partAt  core.Time // when what is not whole began, 0 while nothing is
+	held    int
+	open    int // set-ups without an answer
+	told    int // releases sent
+	served  bool
+	closing bool
+}
+
+// release is owed to a viewer that no connection leads to.
+type release struct {
+	id    string
+	cause int
+	since core.Time
+}
+
+// Viewers is how many connections from viewers are held at most.
+func Viewers(g *Given) int { return g.Sockets / viewerShare }
+
+func (m *Manager) comes(c *core.Conn, _ string) {
+	v := &viewer{m: m, conn: c, came: m.now, parser: rtsp.Parser{Bounds: bounds}}
+	c.Owner = v
+	m.viewers = append(m.viewers, v)
+	if len(m.viewers) > Viewers(m.given) {
+		m.makeRoom()
+	}
+}
+
+// makeRoom closes the connection that is missed least: one that has said nothing whole, then the longest idle, then
+// the newest.
+func (m *Manager) makeRoom() {
+	var pick *viewer
+	rank := func(v *viewer) (int, core.Time) {
+		switch {
+		case v.open > 0:
+			return 2, -v.came
+		case v.spoke == 0:
+			return 0, v.came
+		}
+		return 1, v.spoke
+	}
+	for _, v := range m.viewers {
+		if pick == nil {
+			pick = v
+			continue
+		}
+		a, s := rank(v)
+		b, t := rank(pick)
+		if a < b || a == b && s < t {
+			pick = v
+		}
+	}
+	m.shut(pick)
+}
+
+// shut closes a viewer's connection.
+func (m *Manager) shut(v *viewer) {
+	if v.closing {
+		return
+	}
+	v.closing = true
+	v.parser.Stop()
+	m.net.Close(v.conn)
+	m.viewerGone(v)
+}
+
+func (m *Manager) viewerGone(v *viewer) {
+	i := slices.Index(m.viewers, v)
+	if i < 0 {
+		return
+	}
+	v.closing = true
+	m.viewers = slices.Delete(m.viewers, i, i+1)
+	m.held -= v.held
+	v.held = 0
+	if m.front == v {
+		m.front = nil
+	}
+	if v.open > 0 || v.served {
+		for _, c := range m.calls {
+			if c.viewer != v {
+				continue
+			}
+			if c.phase == standing {
+				c.viewer = nil
+			} else {
+				m.left(c)
+			}
+		}
+	}
+}
+
+// left ends a set-up whose viewer has given it up.
+func (m *Manager) left(c *call) {
+	m.fig.Left++
+	c.viewer.open--
+	c.viewer = nil
+	m.module.Left(c.request.Playback)
+	if c.phase == trying {
+		m.ended(c, session.Cancelled, "")
+	} else {
+		m.finish(c)
+	}
+}
+
+func (m *Manager) viewerSays(v *viewer, b []byte) {
+	if v.closing {
+		return
+	}
+	err := v.parser.Feed(b, v)
+	if v.closing {
+		return
+	}
+	if err != nil {
+		m.fig.Bad++
+		status := rtsp.StatusBadRequest
+		var bad *rtsp.Malformed
+		if errors.As(err, &bad) {
+			status = bad.Status
+		}
+		m.say(v, rtsp.Answer(status, -1))
+		m.shut(v)
+		return
+	}
+	m.held += v.parser.Held() - v.held
+	v.held = v.parser.Held()
+	if !v.parser.Waiting() {
+		v.partAt = 0
+	} else if v.partAt == 0 {
+		v.partAt = m.now
+	}
+	for int64(m.held) > m.given.Memory/heldShare && v.held > 0 {
+		fullest := v
+		for _, x := range m.viewers {
+			if x.held > fullest.held {
+				fullest = x
+			}
+		}
+		m.say(fullest, rtsp.Answer(rtsp.StatusUnavailable, -1))
+		m.shut(fullest)
+	}
+}
+
+// Frame is not let through by the bounds.
+func (v *viewer) Frame(byte, []byte) {}
+
+// Bad is a message that cannot be read, while its end is known.
+func (v *viewer) Bad(e *rtsp.Malformed) {
+	v.m.fig.Bad++
+	v.m.say(v, rtsp.Answer(e.Status, e.CSeq))
+	v.m.shut(v)
+}
+
+// Message takes a whole one.
+func (v *viewer) Message(r *rtsp.Message) {
+	m := v.m
+	v.spoke, v.partAt = m.now, 0
+	id := r.Get("Session")
+	m.trace("from viewer %s %s %d %s %v %q", id, r.Method, r.Status, r.URI, r.Header, r.Body)
+	if !r.IsRequest() {
+		if v.told--; v.told < 0 { // to nothing that was asked
+			m.bad(v, r)
+		}
+		return
+	}
+	if !boxes.ID(id) || !strings.HasPrefix(r.URI, prefix) {
+		m.bad(v, r)
+		return
+	}
+	switch r.Method {
+	case rtsp.Setup:
+		m.setup(v, id, r)
+	case rtsp.Teardown:
+		m.teardown(v, id, r)
+	case rtsp.Options:
+		status := rtsp.StatusOK
+		if m.stopping > 0 {
+			status = rtsp.StatusUnavailable
+		}
+		m.say(v, rtsp.Answer(status, r.CSeq).With("Session", id))
+	default:
+		m.fig.Bad++
+		m.say(v, rtsp.Answer(rtsp.StatusMethodNotAllowed, r.CSeq).With("Session", id))
+	}
+	m.flush(v)
+}
+
+// bad answers what makes no sense, and closes unless others' set-ups are open there.
+func (m *Manager) bad(v *viewer, r *rtsp.Message) {
+	m.fig.Bad++
+	if r.IsRequest() {
+		a := rtsp.Answer(rtsp.StatusBadRequest, r.CSeq)
+		if id := r.Get("Session"); boxes.ID(id) {
+			a.With("Session", id)
+		}
+		m.say(v, a)
+	}
+	if v.open == 0 {
+		m.shut(v)
+	}
+}
+
+// number reads a whole number within bounds.
+func number(s string, least, most int64) (int64, bool) {
+	n, err := strconv.ParseInt(s, 10, 64)
+	return n, err == nil && n >= least && n <= most && s[0] != '+'
+}
+
+// read makes a call of a set-up; false where it is not one.
+func (m *Manager) read(id string, r *rtsp.Message) (c *call, at string, ok bool) {
+	told := m.given.Told
+	c = &call{id: id, key: strings.TrimPrefix(r.URI, prefix), plan: r.Get("Call-Kind"), desc: string(r.Body), try: -1}
+	q := &c.request
+	if q.Plan = slices.Index(told.Plans, c.plan); q.Plan < 0 || !boxes.ID(c.key) || c.desc == "" || !utf8.ValidString(c.desc) {
+		return nil, "", false
+	}
+	q.Show, _ = strconv.ParseUint(c.key, 16, 64)
+	fields := map[string]string{}
+	for _, f := range rtsp.Pairs(strings.ReplaceAll(r.Get("Routing-Data"), ":", "=")) {
+		if _, twice := fields[f.Name]; twice {
+			return nil, "", false
+		}
+		fields[f.Name] = f.Value
+	}
+	base, ok1 := number(fields["home"], 0, int64(told.Site.Fleet.Cells)-1)
+	span, ok2 := number(fields["copies"], 1, int64(told.Site.Fleet.Cells))
+	top, ok3 := number(fields["top"], 0, int64(len(told.Site.Ladder.RateKB))-1)
+	if !ok1 || !ok2 || !ok3 || !boxes.ID(fields["viewer"]) {
+		return nil, "", false
+	}
+	q.Base, q.Span, q.Top = int(base), int(span), int(top)
+	at = fields["at"]
+	left, ok4 := number(r.Get("Answer-Within"), 1, told.Patience[q.Plan]/core.Millisecond)
+	if !ok4 && at == "" { // what plays already waits for no answer
+		return nil, "", false
+	}
+	left *= core.Millisecond
+	q.Abandon = m.now + left - left/wayShare
+	c.rung = told.Site.Plans[q.Plan].Floor
+	return c, at, true
+}
+
+// wayShare: one part in so many of a viewer's patience is left for the way there and back.
+const wayShare = 64
+
+func (m *Manager) setup(v *viewer, id string, r *rtsp.Message) {
+	c, at, ok := m.read(id, r)
+	if !ok {
+		m.bad(v, r)
+		return
+	}
+	if at != "" {
+		m.plays(v, c, at)
+		return
+	}
+	if old := m.calls[id]; old != nil { // two under one id: none of them is served on this connection
+		if old.viewer == v && old.phase != standing {
+			m.drop(old)
+		}
+		m.bad(v, r)
+		return
+	}
+	if m.stopping > 0 || int64(m.held+len(c.desc)) > m.given.Memory/heldShare {
+		m.fig.Refused++
+		a := rtsp.Answer(rtsp.StatusUnavailable, setupSeq).With("Session", id)
+		if t := m.given.Told.Site.Terms.MaxComeAgain; t > 0 {
+			a.With("Come-Back-Ms", strconv.FormatInt(t/core.Millisecond, 10))
+		}
+		m.say(v, a)
+		return
+	}
+	c.viewer = v
+	v.open++
+	m.fig.Taken++
+	m.take(c)
+	m.module.Requested(c.request)
+}
+
+// drop takes a set-up back as if its viewer had given it up; no answer of its own follows.
+func (m *Manager) drop(c *call) { m.left(c) }
+
+// plays takes over what plays already.
+func (m *Manager) plays(v *viewer, c *call, at string) {
+	if m.calls[c.id] != nil {
+		return
+	}
+	n, err := feed.ID(at)
+	b := m.boxes[n]
+	if err != nil || b == nil || b.state == session.Gone {
+		m.release(v, c.id, causeReset)
+		return
+	}
+	c.viewer, c.desc, c.try, c.phase, c.box, c.since = v, "", 0, standing, b, m.now
+	v.served = true
+	m.front = v
+	m.take(c)
+	b.standing[c] = struct{}{}
+	m.module.Opened(c.request, b.index)
+	if len(b.links) == 0 {
+		m.dial(b)
+	}
+}
+
+func (m *Manager) teardown(v *viewer, id string, r *rtsp.Message) {
+	cause, reasoned := reason(r.Get("Reason"))
+	c := m.calls[id]
+	if c == nil || c.phase != standing && reasoned {
+		m.say(v, rtsp.Answer(rtsp.StatusSessionNotFound, r.CSeq).With("Session", id))
+		return
+	}
+	m.say(v, rtsp.Answer(rtsp.StatusOK, r.CSeq).With("Session", id))
+	if c.phase != standing {
+		if c.viewer == v {
+			m.drop(c)
+		}
+		return
+	}
+	m.tell(c.box, &boxes.Message{Op: boxes.End, Call: id, Why: cause})
+	o := session.Cancelled
+	if cause == causeOver && reasoned {
+		o = session.OK
+	}
+	m.ended(c, o, "")
+}
+
+func reason(text string) (cause int, ok bool) {
+	s, ok := strings.CutPrefix(text, "cause=")
+	n, good := number(s, 0, 1<<16)
+	if !ok || !good {
+		return causeOver, false
+	}
+	return int(n), true
+}
+
+// answer is a set-up's final one.
+func (m *Manager) answer(c *call, a *rtsp.Message) {
+	if c.viewer != nil {
+		m.say(c.viewer, a.With("Session", c.id))
+	}
+	m.finish(c)
+}
+
+// say writes a message to a viewer. One that does not read is not written to for long.
+func (m *Manager) say(v *viewer, a *rtsp.Message) {
+	if v.closing {
+		return
+	}
+	if len(a.Body) == 0 {
+		a.With("Content-Length", "0")
+	}
+	m.trace("to viewer %s %s %d", a.Get("Session"), a.Method, a.Status)
+	m.net.Send(v.conn, a.Append(nil))
+	if m.net.Pending(v.conn) > 4*boxes.Longest {
+		m.queue = append(m.queue, func() { m.shut(v) })
+	}
+}
+
+// sayTo writes to a viewer on its connection or, as what stands belongs to none, on another of the front's.
+func (m *Manager) sayTo(v *viewer, a *rtsp.Message) bool {
+	if v == nil || v.closing {
+		v = m.front
+	}
+	for i := 0; v == nil && i < len(m.viewers); i++ {
+		if m.viewers[i].served {
+			v = m.viewers[i]
+		}
+	}
+	if v == nil {
+		return false
+	}
+	if a.Method == rtsp.Teardown {
+		v.told++
+	}
+	m.say(v, a)
+	return true
+}
+
+// release tells a viewer that what stood is over.
+func (m *Manager) release(v *viewer, id string, cause int) {
+	a := rtsp.Request(rtsp.Teardown, prefix+id, teardownSeq).With("Session", id).With("Reason", "cause="+strconv.Itoa(cause))
+	if !m.sayTo(v, a) && len(m.owed) < cap(m.pbs)+1 {
+		m.owed = append(m.owed, release{id, cause, m.now})
+	}
+}
+
+// flush sends what is owed once the front is heard of again.
+func (m *Manager) flush(v *viewer) {
+	if len(m.owed) == 0 || !v.served && m.front != nil || v.closing {
+		return
+	}
+	owed := m.owed
+	m.owed = nil
+	for _, r := range owed {
+		if m.now-r.since < forgiven {
+			m.release(v, r.id, r.cause)
+		}
+	}
+}
+
+// sweep closes connections on which nothing whole comes and looks after servers.
+func (m *Manager) sweep() {
+	for _, v := range slices.Clone(m.viewers) {
+		switch {
+		case v.spoke == 0 && m.now-v.came > hush, v.partAt > 0 && m.now-v.partAt > hush:
+			m.fig.Bad++
+			m.say(v, rtsp.Answer(rtsp.StatusRequestTimeout, -1))
+			m.shut(v)
+		case v.open == 0 && v.spoke > 0 && m.now-v.spoke > m.given.Told.Idle/2:
+			m.shut(v)
+		}
+	}
+	m.lookAfter()
+	m.lookAfterBus()
+	m.timers.Set(nil, m.now+sweep, m.sweep)
+}
--- a/internal/rtsp/message.go
+++ b/internal/rtsp/message.go
@@ -23,6 +23,7 @@
 	GetParameter = "GET_PARAMETER"
 	SetParameter = "SET_PARAMETER"
 	Redirect     = "REDIRECT"
+	Announce     = "ANNOUNCE"
 )
 
 // Status codes (RFC 2326 section 7.1.1).
--- a/internal/rtsp/parser.go
+++ b/internal/rtsp/parser.go
@@ -9,9 +9,10 @@
 
 // Bounds of what one connection may make a parser hold.
 type Bounds struct {
-	Line, Head    int // bytes of one line, of all lines of a message
-	Fields, Body  int // header lines, bytes of a body
-	FrameInBuffer int // bytes of a part of a frame kept between two reads, before its buffer is given back
+	Line, Head    int  // bytes of one line, of all lines of a message
+	Fields, Body  int  // header lines, bytes of a body
+	FrameInBuffer int  // bytes of a part of a frame kept between two reads, before its buffer is given back
+	NoFrames      bool // interleaved data is malformed
 }
 
 // Usual bounds; messages of this protocol are a fraction of them.
@@ -119,6 +120,9 @@
 		}
 		switch b[done] {
 		case '$':
+			if p.Bounds.NoFrames {
+				return done, &Malformed{StatusBadRequest, -1, true, "interleaved data"}
+			}
 			at := b[done:]
 			if len(at) < 4 {
 				return done, nil
--- a/internal/simwire/start.go
+++ b/internal/start/start.go
@@ -1,25 +1,68 @@
-package simwire
+// Package start reads the settings object that a session manager is given at its start, by the simulator's first
+// message or by the platform's configuration, and load reports by the names that it tells.
+package start
 
 import (
+	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 
 	"pierlink/session"
 )
 
-// start is the settings object of a START record, as far as the decisions read it.
-type start struct {
+// Told is what the object tells: the module's part as Site, the rest for the program round it.
+type Told struct {
+	Site      *session.Site
+	Plans     []string // the names, as positions in the lists below
+	Zones     []string
+	Kinds     []string
+	Load      []string       // the values of a load report
+	Patience  []session.Time // a plan's viewers wait so long for a set-up
+	Connect   session.Time   // a connection that is not up by then is given up
+	Idle      session.Time   // one that carries nothing is closed then
+	Tell      session.Time   // between two notes of how full a link is, 0 for none
+	Shared    int            // set-ups at once on one connection to a server
+	Open      int            // playbacks that a manager may hold
+	Withdrawn bool           // a set-up may be withdrawn at its server
+}
+
+// Read decodes the object.
+func Read(text []byte) (*Told, error) {
+	var w object
+	if err := json.Unmarshal(text, &w); err != nil {
+		return nil, fmt.Errorf("start information: %w", err)
+	}
+	s, err := w.site()
+	if err != nil {
+		return nil, err
+	}
+	t := &Told{Site: s, Zones: w.Localities, Kinds: w.Kinds, Load: w.LoadReport.Names, Connect: micros(w.Limits.ConnectTimeout),
+		Idle: micros(w.Limits.ConnIdle), Tell: micros(w.Domain.ToldEvery), Shared: w.Limits.StreamsPerConn,
+		Open: w.Limits.MostHeld, Withdrawn: w.Limits.Cancel}
+	for _, c := range w.Classes {
+		t.Plans = append(t.Plans, c.Name)
+		t.Patience = append(t.Patience, micros(c.GiveUp))
+	}
+	return t, nil
+}
+
+func micros(seconds float64) session.Time { return session.Time(math.Round(seconds * 1e6)) }
+
+// object is the settings object as far as it is read.
+type object struct {
 	Balancers int
 	SlotNo    int
 	Locality  int
 	Classes   []struct {
-		Effect, KeyScope       string
-		Promise, Window, Worth float64
-		Stream                 bool
+		Name, Effect, KeyScope         string
+		GiveUp, Promise, Window, Worth float64
+		Stream                         bool
 	}
-	Customers []struct{ QuotaPerS float64 }
-	Goal      struct{ WorstClass float64 }
-	Domain    struct {
+	Localities, Kinds []string
+	Customers         []struct{ QuotaPerS float64 }
+	Goal              struct{ WorstClass float64 }
+	Domain            struct {
 		Cabinets, Positions               int
 		ChangeCostsS, Join                float64
 		ClassTop, LowestRung, Seats       []int
@@ -31,10 +74,15 @@
 		RefusesFrom, SeenAfter, ToldEvery float64
 	}
 	Limits struct {
-		MaxAttempts   int
-		MaxRetryAfter float64
-		Probes        bool
-		RetryAfter    bool
+		MaxAttempts    int
+		MaxRetryAfter  float64
+		Probes         bool
+		RetryAfter     bool
+		Cancel         bool
+		ConnIdle       float64
+		ConnectTimeout float64
+		StreamsPerConn int
+		MostHeld       int
 	}
 	LoadReport struct {
 		Names  []string
@@ -58,7 +106,7 @@
 	return v, nil
 }
 
-func (w *start) site() (*session.Site, error) {
+func (w *object) site() (*session.Site, error) {
 	d, n := &w.Domain, len(w.Classes)
 	if n == 0 || len(d.LadderKb) == 0 || len(d.LevelWorth) != len(d.LadderKb) || d.Positions < 1 ||
 		d.Cabinets < 1 || w.Balancers < 1 {
