A refused connection cuts nothing that another still carries; releases are sent until heard

The trace shows servers that drain refusing new connections up to two seconds before they end, at 53.68 and 62.45 s, while a connection made earlier stays up; linkUp (internal/platform/servers.go) took any refusal for the death of the process.

So an answer is what viewers owe, and a release without one is sent again elsewhere (viewers.go, remind). That also holds against a connection closed by its viewer while it is written to. Before, what was owed could go to any connection that spoke, a bad client's too (flush); now only to one on which something was served.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -38,7 +38,7 @@
 type Figures struct {
 	Taken, Served, Refused, Failed, Left, Bad       int
 	Tries                                           [session.NotSent + 1]int
-	Probes, Over, Cut, Moved, Spoilt                int
+	Probes, Over, Cut, Moved, Spoilt, Unheard       int
 	Viewers, Links, Open, Standing, Servers, Titles int
 	Position                                        uint64
 	BusUp                                           bool
@@ -69,7 +69,7 @@
 
 	viewers []*viewer
 	front   *viewer // the last on which something was served
-	owed    []release
+	owed    []*release
 
 	boxes   map[uint32]*box
 	byIndex []*box
@@ -297,7 +297,9 @@
 	}
 	m.fig.Moved++
 	c.moving = true
-	m.sayTo(c.viewer, rtsp.Request(rtsp.Redirect, "rtsp://media/"+c.key, 4).With("Session", c.id))
+	if v := m.heir(c.viewer, nil); v != nil {
+		m.say(v, rtsp.Request(rtsp.Redirect, "rtsp://media/"+c.key, 4).With("Session", c.id))
+	}
 	c.timer = m.timers.Set(c.timer, m.now+core.Second, func() { // its server is to end it by itself
 		m.tell(c.box, &boxes.Message{Op: boxes.End, Call: c.id, Why: causeMoved})
 		m.ended(c, session.Cancelled, "")
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -51,7 +51,9 @@
 	test    string
 }
 
-func (s *stage) act(format string, a ...any) { s.actions = append(s.actions, fmt.Sprintf(format, a...)) }
+func (s *stage) act(format string, a ...any) {
+	s.actions = append(s.actions, fmt.Sprintf(format, a...))
+}
 
 func (s *stage) Dial(c *core.Conn, addr string) {
 	var name string
@@ -103,8 +105,8 @@
 	name string
 }
 
-func (h *hearer) Frame(byte, []byte)      {}
-func (h *hearer) Bad(e *rtsp.Malformed)   { h.s.t.Errorf("%s: %v", h.s.line, e) }
+func (h *hearer) Frame(byte, []byte)    {}
+func (h *hearer) Bad(e *rtsp.Malformed) { h.s.t.Errorf("%s: %v", h.s.line, e) }
 func (h *hearer) Message(m *rtsp.Message) {
 	text := h.name + " " + m.Method
 	if !m.IsRequest() {
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -69,7 +69,7 @@
 		restarted := b.started != s.Started && b.address != ""
 		b.state, b.address, b.started = s.State, s.Address, s.Started
 		if restarted {
-			m.cut(b)
+			m.cut(b, "it has started anew")
 		}
 		l.Entries = append(l.Entries, session.Entry{Server: b.index, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, State: s.State,
 			Started: s.Started, Weight: s.Weight})
@@ -92,7 +92,8 @@
 }
 
 // cut ends all that stood at a server: its process is another one now, or none.
-func (m *Manager) cut(b *box) {
+func (m *Manager) cut(b *box, why string) {
+	m.trace("cut %s, %d sessions: %s", b.name, len(b.standing), why)
 	for c := range b.standing {
 		m.release(c.viewer, c.id, causeReset)
 		m.ended(c, session.Reset, "")
@@ -178,7 +179,11 @@
 		}
 		m.untested(b, session.NoConnection)
 		if errors.Is(err, core.ErrRefused) {
-			m.cut(b)
+			if slices.ContainsFunc(b.links, func(x *link) bool { return x.up }) {
+				b.heard = m.now // it takes no newcomers, but a process that had died would have reset the others
+			} else {
+				m.cut(b, "it refuses connections")
+			}
 		}
 		return
 	}
@@ -322,7 +327,7 @@
 	m.untested(b, session.Reset)
 	if len(b.links) == 0 && len(b.standing) > 0 {
 		if b.state == session.Gone {
-			m.cut(b)
+			m.cut(b, "gone from the list, and its connections with it")
 		} else {
 			m.dial(b)
 		}
@@ -371,6 +376,11 @@
 	c.viewer.open--
 	c.viewer.served = true
 	m.front = c.viewer
+	for _, r := range slices.Clone(m.owed) {
+		if r.sent == 0 {
+			m.sendRelease(r)
+		}
+	}
 	m.held -= len(c.desc)
 	c.desc = ""
 	c.phase = standing
@@ -431,7 +441,7 @@
 		switch quiet := m.now - b.heard; {
 		case len(b.standing) == 0:
 		case b.state == session.Gone && (len(b.links) == 0 || quiet > lost), quiet > lost:
-			m.cut(b)
+			m.cut(b, "not heard of for "+strconv.FormatInt(quiet/core.Millisecond, 10)+" ms")
 		case quiet > silence && m.now-b.dialledAt > silence/4:
 			if n := len(b.links); n >= m.perBox {
 				for _, l := range b.links {
--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -43,16 +43,18 @@
 	partAt  core.Time // when what is not whole began, 0 while nothing is
 	held    int
 	open    int // set-ups without an answer
-	told    int // releases sent
 	served  bool
 	closing bool
 }
 
-// release is owed to a viewer that no connection leads to.
+// release is owed to a viewer until it has said that it heard it.
 type release struct {
-	id    string
-	cause int
-	since core.Time
+	id     string
+	cause  int
+	since  core.Time
+	sentAt core.Time
+	on     *viewer // the connection that it was sent on last
+	sent   int
 }
 
 // Viewers is how many connections from viewers are held at most.
@@ -117,6 +119,11 @@
 	if m.front == v {
 		m.front = nil
 	}
+	for _, r := range m.owed {
+		if r.on == v { // what was written may not have been read
+			m.sendRelease(r)
+		}
+	}
 	if v.open > 0 || v.served {
 		for _, c := range m.calls {
 			if c.viewer != v {
@@ -199,7 +206,9 @@
 	id := r.Get("Session")
 	m.trace("from viewer %s %s %d %s %v %q", id, r.Method, r.Status, r.URI, r.Header, r.Body)
 	if !r.IsRequest() {
-		if v.told--; v.told < 0 { // to nothing that was asked
+		if i := slices.IndexFunc(m.owed, func(o *release) bool { return o.id == id }); i >= 0 {
+			m.owed = slices.Delete(m.owed, i, i+1)
+		} else if !v.served { // to nothing that was asked
 			m.bad(v, r)
 		}
 		return
@@ -223,7 +232,6 @@
 		m.fig.Bad++
 		m.say(v, rtsp.Answer(rtsp.StatusMethodNotAllowed, r.CSeq).With("Session", id))
 	}
-	m.flush(v)
 }
 
 // bad answers what makes no sense, and closes unless others' set-ups are open there.
@@ -396,44 +404,71 @@
 	}
 }
 
-// sayTo writes to a viewer on its connection or, as what stands belongs to none, on another of the front's.
-func (m *Manager) sayTo(v *viewer, a *rtsp.Message) bool {
-	if v == nil || v.closing {
-		v = m.front
-	}
-	for i := 0; v == nil && i < len(m.viewers); i++ {
-		if m.viewers[i].served {
-			v = m.viewers[i]
-		}
+// heir is where a viewer can be told of what stands: its connection or, as what stands belongs to none, another on
+// which something was served. Connections of which nothing of the kind is known may be anybody's.
+func (m *Manager) heir(v, but *viewer) *viewer {
+	if v != nil && !v.closing && v != but {
+		return v
 	}
-	if v == nil {
-		return false
+	if m.front != nil && m.front != but {
+		return m.front
 	}
-	if a.Method == rtsp.Teardown {
-		v.told++
+	for _, x := range m.viewers {
+		if x.served && !x.closing && x != but {
+			return x
+		}
 	}
-	m.say(v, a)
-	return true
+	return nil
 }
 
 // release tells a viewer that what stood is over.
 func (m *Manager) release(v *viewer, id string, cause int) {
-	a := rtsp.Request(rtsp.Teardown, prefix+id, teardownSeq).With("Session", id).With("Reason", "cause="+strconv.Itoa(cause))
-	if !m.sayTo(v, a) && len(m.owed) < cap(m.pbs)+1 {
-		m.owed = append(m.owed, release{id, cause, m.now})
+	r := &release{id: id, cause: cause, since: m.now, on: v}
+	if len(m.owed) > 2*len(m.pbs)+owedAtLeast { // more than ever stood at once: the oldest is not answered any more
+		m.owed = slices.Delete(m.owed, 0, 1)
+	}
+	m.owed = append(m.owed, r)
+	if v == nil || v.closing {
+		r.on = nil
+	}
+	m.writeRelease(r, m.heir(r.on, nil))
+}
+
+const (
+	owedAtLeast = 64
+	unheard     = core.Second / 4 // a release that is not answered by then is sent again
+	most        = 4               // times at most
+)
+
+// sendRelease sends one again, elsewhere if that can be.
+func (m *Manager) sendRelease(r *release) {
+	v := m.heir(nil, r.on)
+	if v == nil {
+		v = m.heir(r.on, nil)
+	}
+	if r.sent > 0 && v != nil {
+		m.fig.Unheard++
+		m.trace("release of %s is sent again", r.id)
 	}
+	m.writeRelease(r, v)
 }
 
-// flush sends what is owed once the front is heard of again.
-func (m *Manager) flush(v *viewer) {
-	if len(m.owed) == 0 || !v.served && m.front != nil || v.closing {
+func (m *Manager) writeRelease(r *release, v *viewer) {
+	if v == nil {
+		r.on = nil
 		return
 	}
-	owed := m.owed
-	m.owed = nil
-	for _, r := range owed {
-		if m.now-r.since < forgiven {
-			m.release(v, r.id, r.cause)
+	r.on, r.sentAt = v, m.now
+	r.sent++
+	m.say(v, rtsp.Request(rtsp.Teardown, prefix+r.id, teardownSeq).With("Session", r.id).With("Reason", "cause="+strconv.Itoa(r.cause)))
+}
+
+// remind sends releases again that nobody has answered, as long as they still count.
+func (m *Manager) remind() {
+	m.owed = slices.DeleteFunc(m.owed, func(r *release) bool { return m.now-r.since > forgiven || r.sent >= most && m.now-r.sentAt > unheard })
+	for _, r := range slices.Clone(m.owed) {
+		if r.sent == 0 || m.now-r.sentAt > unheard {
+			m.sendRelease(r)
 		}
 	}
 }
@@ -450,6 +485,7 @@
 			m.shut(v)
 		}
 	}
+	m.remind()
 	m.lookAfter()
 	m.lookAfterBus()
 	m.timers.Set(nil, m.now+sweep, m.sweep)
