What began at a server's new process is not cut with the old one

Checked and ruled out: silence of servers, and releases unanswered (none). Cut now is what began before the new start, and a server that drains only once the list has it gone.

Where notes are told often, a server that has said nothing of what stands there for 7 s is taken to have forgotten it. That also holds against any server that loses its sessions and lives on; it would hurt where notes are rarer than told.

--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -292,11 +292,11 @@
 			switch want := strings.Join(words[1:], " "); words[0] {
 			case ">":
 				if s.count(want) == 0 {
-					s.t.Errorf("%s: not among %q", s.line, s.actions)
+					s.t.Errorf("%s: %s: not among %q", line, s.line, s.actions)
 				}
 			case "!":
 				if s.count(want) > 0 {
-					s.t.Errorf("%s: is among %q", s.line, s.actions)
+					s.t.Errorf("%s: %s: is among %q", line, s.line, s.actions)
 				}
 			case "=":
 				want = strings.Join(words[2:], " ")
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -26,7 +26,8 @@
 	standing  map[*call]struct{}
 	tries     int
 	tests     map[string]*core.Timer
-	heard     core.Time
+	heard     core.Time // it let a connection come up, or sent something
+	said      core.Time // it sent something of what stands there
 	dialledAt core.Time
 	goneAt    core.Time
 }
@@ -66,10 +67,10 @@
 			}
 			m.boxes[s.ID] = b
 		}
-		restarted := b.started != s.Started && b.address != ""
-		b.state, b.address, b.started = s.State, s.Address, s.Started
-		if restarted {
-			m.cut(b, "it has started anew")
+		b.state, b.address = s.State, s.Address
+		if b.started != s.Started {
+			b.started = s.Started
+			m.cut(b, "it has started anew", func(c *call) bool { return c.since < b.started })
 		}
 		l.Entries = append(l.Entries, session.Entry{Server: b.index, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, State: s.State,
 			Started: s.Started, Weight: s.Weight})
@@ -91,12 +92,14 @@
 	m.trace("list %d whole %v %+v", e.Number, e.Whole, e.Servers)
 }
 
-// cut ends all that stood at a server: its process is another one now, or none.
-func (m *Manager) cut(b *box, why string) {
+// cut ends what stood at a server: its process is another one now, or none.
+func (m *Manager) cut(b *box, why string, which func(*call) bool) {
 	m.trace("cut %s, %d sessions: %s", b.name, len(b.standing), why)
 	for c := range b.standing {
-		m.release(c.viewer, c.id, causeReset)
-		m.ended(c, session.Reset, "")
+		if which == nil || which(c) {
+			m.release(c.viewer, c.id, causeReset)
+			m.ended(c, session.Reset, "")
+		}
 	}
 }
 
@@ -181,8 +184,9 @@
 		if errors.Is(err, core.ErrRefused) {
 			if slices.ContainsFunc(b.links, func(x *link) bool { return x.up }) {
 				b.heard = m.now // it takes no newcomers, but a process that had died would have reset the others
-			} else {
-				m.cut(b, "it refuses connections")
+			} else if b.state == session.Ready { // one that drains may take none and go on; the list tells its end
+
+				m.cut(b, "it refuses connections", nil)
 			}
 		}
 		return
@@ -327,7 +331,7 @@
 	m.untested(b, session.Reset)
 	if len(b.links) == 0 && len(b.standing) > 0 {
 		if b.state == session.Gone {
-			m.cut(b, "gone from the list, and its connections with it")
+			m.cut(b, "gone from the list, and its connections with it", nil)
 		} else {
 			m.dial(b)
 		}
@@ -352,6 +356,7 @@
 	if c == nil || c.box != b || c.phase == asked {
 		return // over by now, or not this manager's
 	}
+	b.said = m.now
 	switch w.Op {
 	case boxes.Accept:
 		if c.phase != trying || !c.sent || w.Desc == "" {
@@ -384,13 +389,15 @@
 	m.held -= len(c.desc)
 	c.desc = ""
 	c.phase = standing
+	took := m.now - c.since
+	c.since, c.box.said = m.now, m.now
 	c.box.standing[c] = struct{}{}
 	m.fig.Served++
 	m.fig.Tries[session.OK]++
 	a := rtsp.Answer(rtsp.StatusOK, setupSeq).With("Session", c.id)
 	a.Body = []byte(w.Desc)
 	m.say(c.viewer, a)
-	m.module.Playing(c.request.Playback, c.try, c.box.index, m.now-c.since)
+	m.module.Playing(c.request.Playback, c.try, c.box.index, took)
 	_ = load // the notes at set-up tell it
 }
 
@@ -435,13 +442,22 @@
 	m.module.Noted(session.Note{Playback: c.request.Playback, Server: c.box.index, Kind: kind, Value: v})
 }
 
+// tells is whether a server with sessions of this manager sends notes of one of them often enough to miss them: a
+// machine that was away and is back lets connections come up, and knows nothing of what stood.
+func (m *Manager) tells() bool {
+	t := m.given.Told
+	return t.Tell > 0 && t.Tell+t.Site.Fleet.NoteDelay < forgiven-2*core.Second
+}
+
 // lookAfter looks for servers that have sessions and say nothing, and forgets those that are gone.
 func (m *Manager) lookAfter() {
 	for id, b := range m.boxes {
 		switch quiet := m.now - b.heard; {
 		case len(b.standing) == 0:
+		case m.tells() && m.now-b.said > forgiven-core.Second:
+			m.cut(b, "nothing is heard of what stands there", nil)
 		case b.state == session.Gone && (len(b.links) == 0 || quiet > lost), quiet > lost:
-			m.cut(b, "not heard of for "+strconv.FormatInt(quiet/core.Millisecond, 10)+" ms")
+			m.cut(b, "not heard of for "+strconv.FormatInt(quiet/core.Millisecond, 10)+" ms", nil)
 		case quiet > silence && m.now-b.dialledAt > silence/4:
 			if n := len(b.links); n >= m.perBox {
 				for _, l := range b.links {
--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -344,6 +344,7 @@
 	m.front = v
 	m.take(c)
 	b.standing[c] = struct{}{}
+	b.said = m.now
 	m.module.Opened(c.request, b.index)
 	if len(b.links) == 0 {
 		m.dial(b)
