An error strikes a server only when it errs on two playbacks running

In its trace 10 requests of bad clients, well formed and with titles that no server has, came to the servers by one manager in the first 7.5 s; each drew an error from up to three, and each error shut a server for 0.75 s and longer (Ended and strike, policy/policy.go). Seven usual requests before 6.5 s were then refused without a try, as at 3.62 s after at 3.50 s. Ruled out: late reading (longest turn 3 ms), evicted connections (at most 52 of 192 places taken by then), the outage (it begins after).

An error now counts only against a server that erred on the playback before too, and a playback that erred at one server accuses no other.

It also holds against titles taken off servers while viewers still ask for them. It hurts by one try more where a server errs on everything.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -493,7 +493,7 @@
 	if s.trial && f.now >= s.coldUntil { // it may have restarted unseen; its list entry may be on the way
 		s.coldUntil, s.coldTold = f.now+f.Terms.WarmUp, false
 	}
-	s.trial = false
+	s.trial, s.erred = false, false
 	s.strikes /= 2
 }
 
@@ -508,6 +508,16 @@
 	}
 }
 
+// err strikes a server for an error only when it errs on two playbacks running, neither of which erred elsewhere:
+// it guards against requests that no server can use; a server that errs on all costs one try more to tell.
+func (f *front) err(pb *playback, srv int) {
+	s := f.server(srv)
+	if s.erred && !pb.erred {
+		f.strike(srv, session.Failed)
+	}
+	s.erred, pb.erred = true, true
+}
+
 // Ended takes the end of a setup try or of a playback.
 func (f *front) Ended(r session.Result) {
 	pb := f.pbs[r.Playback]
@@ -517,7 +527,9 @@
 	f.loaded(r.Server, r.Load, f.now-f.Fleet.NoteDelay/2-f.late)
 	f.release(pb)
 	switch r.Outcome {
-	case session.Failed, session.TimedOut, session.NoConnection, session.Reset:
+	case session.Failed:
+		f.err(pb, r.Server)
+	case session.TimedOut, session.NoConnection, session.Reset:
 		f.strike(r.Server, r.Outcome)
 	case session.Full: // at least as full as it was thought to be, guard told or not
 		f.server(r.Server).link.read(f, max(f.Fleet.FullFrom, f.server(r.Server).link.fill(f)), f.now)
--- a/policy/state.go
+++ b/policy/state.go
@@ -42,6 +42,7 @@
 		strikes   int
 		shunUntil Time
 		trial     bool // one try at a time until one succeeds
+		erred     bool // on the last playback that it set up
 		coldUntil Time
 		coldTold  bool // by the list; otherwise only feared
 		cold      meter.Count
@@ -73,6 +74,7 @@
 		ranAt      int // where a keyed or unsafe try may have run, -1 for nowhere
 		ranSince   Time
 		out, plays bool
+		erred      bool // somewhere
 		seated     bool
 		gone       bool
 		dirty      bool
