A stop ends before the platform kills

Ruled out: a stop that hangs (the figures went on each second). At fault was Stop (internal/platform/life.go), which read the platform's 3 s as the least it waits; it is the most: the longest patience there is 1.4 s, and the kill comes 0.7 s after it.

--- a/internal/platform/life.go
+++ b/internal/platform/life.go
@@ -9,8 +9,12 @@
 	"pierlink/internal/rtsp"
 )
 
-// The platform waits for the longest patience of a viewer, counted as this at least, before it kills.
-const leastStop = 3 * core.Second
+// The platform kills no sooner than the longest patience of a viewer, counted as mostStop where it is longer, and
+// 0.7 s after its word; part of the latter is for what is sent last.
+const (
+	mostStop  = 3 * core.Second
+	afterStop = core.Second / 5
+)
 
 // Stop ends the session manager: what comes from here on is refused at once, what has come is decided, and what stands
 // plays on until shortly before the platform kills.
@@ -19,8 +23,8 @@
 		return
 	}
 	m.stopping = m.now
-	wait := max(slices.Max(m.given.Told.Patience), leastStop)
-	m.timers.Set(nil, m.now+wait, m.close)
+	wait := min(slices.Max(m.given.Told.Patience), mostStop)
+	m.timers.Set(nil, m.now+wait+afterStop, m.close)
 }
 
 // close ends all that is left and then the program, once what was sent is out.
