Newcomers have a grace before they make room; a stop closes its doors in order

Ruled out: requests open in the core (none at either stop), late turns (4 ms at most), the module (all taken were answered).

Room is now made at a turn's end; a newcomer has 50 ms, the platform's own measure of what may cross, and the longest idle goes before it. It hurts where many idle viewers would soon ask again: they connect anew.

The stop closes its listener 0.7 s after SIGTERM, as nothing new comes then, and the connections before the process ends.

--- a/cmd/pierlink/platform.go
+++ b/cmd/pierlink/platform.go
@@ -67,11 +67,13 @@
 	log = log.With(zap.String("manager", g.Name))
 	exit := make(chan struct{})
 	var m *platform.Manager
+	var loop *edge.Loop
 	room := edge.Room{Read: pieceRead, Mail: int(g.Memory / mailShare), Dials: time.Duration(g.Told.Connect)*time.Microsecond + time.Second,
 		Doors: platform.Viewers(g) + acceptRoom}
-	loop, err := edge.NewIn(room, "", func(n core.Net) core.Core {
+	loop, err = edge.NewIn(room, "", func(n core.Net) core.Core {
 		m = platform.New(n, g, edge.Now(), policy.New)
 		m.Exit = func() { close(exit) }
+		m.Hush = func() { go loop.Hush() }
 		if traced {
 			m.Trace = func(format string, a ...any) { fmt.Fprintf(os.Stderr, format+"\n", a...) }
 		}
--- a/internal/edge/door.go
+++ b/internal/edge/door.go
@@ -96,7 +96,8 @@
 func (l *Loop) Hush() {
 	l.mu.Lock()
 	doors := l.doors
-	l.doors = nil
+	l.doors, l.hushed = nil, true
+	l.room.Broadcast()
 	l.mu.Unlock()
 	for _, d := range doors {
 		_ = d.ln.SetDeadline(time.Now().Add(lastCall))
@@ -154,7 +155,7 @@
 func (l *Loop) admit() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for (len(l.mail) > mailboxEvents || l.has.Doors > 0 && l.inside >= l.has.Doors) && !l.stopped {
+	for (len(l.mail) > mailboxEvents || l.has.Doors > 0 && l.inside >= l.has.Doors) && !l.stopped && !l.hushed {
 		l.room.Wait()
 	}
 }
--- a/internal/edge/loop.go
+++ b/internal/edge/loop.go
@@ -50,6 +50,7 @@
 	mail       []event
 	bytes      int
 	inside     int // accepted and not closed
+	hushed     bool
 	stopped    bool
 	wake       chan struct{}
 	done       chan struct{}
--- /dev/null
+++ b/internal/edge/room_test.go
@@ -0,0 +1,139 @@
+package edge_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"pierlink/internal/core"
+	"pierlink/internal/edge"
+)
+
+// counting is a core that counts the pieces of a turn and the connections that it has.
+type counting struct {
+	core.Core
+	net    core.Net
+	first  chan struct{}
+	go_    chan struct{}
+	pieces int
+	most   int
+	open   chan int
+	conns  []*core.Conn
+	bytes  int
+}
+
+func (c *counting) At(core.Time) { c.pieces = 0 }
+func (c *counting) Accepted(x *core.Conn, _ string) {
+	c.conns = append(c.conns, x)
+	c.open <- len(c.conns)
+}
+func (c *counting) Received(_ *core.Conn, b []byte) {
+	if c.bytes == 0 {
+		close(c.first)
+		<-c.go_
+	}
+	c.pieces++
+	c.bytes += len(b)
+	c.most = max(c.most, c.pieces)
+}
+func (c *counting) Closed(*core.Conn, error) {}
+func (c *counting) Settle() core.Time        { return core.Never }
+
+func newCounting(t *testing.T, room edge.Room) (*counting, *edge.Loop) {
+	t.Helper()
+	c := &counting{first: make(chan struct{}), go_: make(chan struct{}), open: make(chan int, 100)}
+	l, err := edge.NewIn(room, "127.0.0.1:0", func(n core.Net) core.Core { c.net = n; return c })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Stop(true) })
+	return c, l
+}
+
+// What waits is counted by the buffers that it holds, however little is in them.
+func TestRoomOfTheMailbox(t *testing.T) {
+	c, l := newCounting(t, edge.Room{Read: 64, Mail: 640})
+	const all = 100_000
+	go func() {
+		x, err := net.Dial("tcp", l.Addr())
+		if err != nil {
+			return
+		}
+		for range all / 10 {
+			_, _ = x.Write(make([]byte, 10))
+		}
+		time.Sleep(time.Second)
+	}()
+	<-c.first
+	time.Sleep(20 * time.Millisecond)
+	close(c.go_)
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		n, most := 0, 0
+		l.Do(func() { n, most = c.bytes, c.most })
+		if most > 640/64+1 {
+			t.Fatal(most, "pieces waited")
+		}
+		if n == all {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal(n, "bytes came")
+		}
+	}
+}
+
+// The listener holds back connections beyond the room for them, until one is closed.
+func TestRoomOfTheDoor(t *testing.T) {
+	c, l := newCounting(t, edge.Room{Read: 64, Mail: 640, Doors: 2})
+	for range 3 {
+		x, err := net.Dial("tcp", l.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer x.Close()
+	}
+	<-c.open
+	<-c.open
+	select {
+	case <-c.open:
+		t.Error("a third was accepted")
+	case <-time.After(50 * time.Millisecond):
+	}
+	l.Do(func() { c.net.Close(c.conns[0]) })
+	select {
+	case <-c.open:
+	case <-time.After(10 * time.Second):
+		t.Error("the third was not accepted when there was room")
+	}
+}
+
+// A connection goes to the address told and to no other of the machine.
+func TestDialsTheAddress(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.2:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	dialed := make(chan error, 1)
+	d := &dialing{done: dialed}
+	l, err := edge.New("", func(n core.Net) core.Core { d.net = n; return d })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Stop(true)
+	l.Do(func() { d.net.Dial(&core.Conn{}, ln.Addr().String()) })
+	if err := <-dialed; err != nil {
+		t.Error(err)
+	}
+}
+
+type dialing struct {
+	core.Core
+	net  core.Net
+	done chan error
+}
+
+func (d *dialing) At(core.Time)                   {}
+func (d *dialing) Dialed(_ *core.Conn, err error) { d.done <- err }
+func (d *dialing) Closed(*core.Conn, error)       {}
+func (d *dialing) Settle() core.Time              { return core.Never }
--- a/internal/platform/life.go
+++ b/internal/platform/life.go
@@ -14,6 +14,7 @@
 const (
 	mostStop  = 3 * core.Second
 	afterStop = core.Second / 5
+	comeStop  = 7 * core.Second / 10 // nothing new comes later than that
 )
 
 // Stop ends the session manager: what comes from here on is refused at once, what has come is decided, and what stands
@@ -24,10 +25,16 @@
 	}
 	m.stopping = m.now
 	wait := min(slices.Max(m.given.Told.Patience), mostStop)
+	m.timers.Set(nil, m.now+comeStop, func() {
+		if m.Hush != nil {
+			m.Hush()
+		}
+	})
 	m.timers.Set(nil, m.now+wait+afterStop, m.close)
 }
 
-// close ends all that is left and then the program, once what was sent is out.
+// close ends all that is left, then the connections, one that still brings a request being closed before the request
+// is read, so that it is sent elsewhere, and then the program.
 func (m *Manager) close() {
 	m.over = true
 	all := make([]*call, 0, len(m.calls))
@@ -46,6 +53,11 @@
 		m.release(c.viewer, c.id, causeReset)
 		m.tell(c.box, &boxes.Message{Op: boxes.End, Call: c.id, Why: causeOver})
 	}
+	m.timers.Set(nil, m.now+afterStop/2, func() {
+		for _, v := range slices.Clone(m.viewers) {
+			m.shut(v)
+		}
+	})
 	m.timers.Set(nil, m.now+sweep, func() {
 		if m.Exit != nil {
 			m.Exit()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -49,6 +49,7 @@
 type Manager struct {
 	Trace func(format string, a ...any) // nil for none
 	Exit  func()
+	Hush  func() // accept no more
 
 	given  *Given
 	net    core.Net
@@ -165,6 +166,7 @@
 // both.
 func (m *Manager) Settle() core.Time {
 	m.timers.Run(m.now)
+	m.makeRoom()
 	m.settle()
 	return m.timers.Next()
 }
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -286,6 +286,7 @@
 				s.given, s.now = strings.NewReplacer(pairs...), begin
 				s.m = platform.New(s, s.read(), s.now, policy.New)
 				s.m.Exit = func() { s.act("exit") }
+				s.m.Hush = func() { s.act("hush") }
 				s.next = s.now
 				s.pass(begin + core.Millisecond)
 			}
--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"strconv"
@@ -64,36 +65,36 @@
 	v := &viewer{m: m, conn: c, came: m.now, parser: rtsp.Parser{Bounds: bounds}}
 	c.Owner = v
 	m.viewers = append(m.viewers, v)
-	if len(m.viewers) > Viewers(m.given) {
-		m.makeRoom()
-	}
 }
 
-// makeRoom closes the connection that is missed least: one that has said nothing whole, then the longest idle, then
-// the newest.
+// grace is how long a newcomer has to say something before its place is anybody's; the platform's own measure of what
+// may cross on the way.
+const grace = core.Second / 20
+
+// makeRoom closes connections over the bound, those first that are missed least: ones that have said nothing whole in
+// their grace, then the longest idle, then newcomers, and last ones with a set-up open. It is done at a turn's end, when
+// all that has come is read.
 func (m *Manager) makeRoom() {
-	var pick *viewer
 	rank := func(v *viewer) (int, core.Time) {
 		switch {
 		case v.open > 0:
-			return 2, -v.came
-		case v.spoke == 0:
+			return 3, -v.came
+		case v.spoke > 0:
+			return 1, v.spoke
+		case m.now-v.came > grace:
 			return 0, v.came
 		}
-		return 1, v.spoke
+		return 2, v.came
 	}
-	for _, v := range m.viewers {
-		if pick == nil {
-			pick = v
-			continue
-		}
-		a, s := rank(v)
-		b, t := rank(pick)
-		if a < b || a == b && s < t {
-			pick = v
-		}
+	for len(m.viewers) > Viewers(m.given) {
+		pick := slices.MinFunc(m.viewers, func(a, b *viewer) int {
+			i, s := rank(a)
+			j, t := rank(b)
+			return cmp.Or(cmp.Compare(i, j), cmp.Compare(s, t))
+		})
+		m.trace("no room: closing a connection %d us old, last heard %d, %d open", m.now-pick.came, pick.spoke, pick.open)
+		m.shut(pick)
 	}
-	m.shut(pick)
 }
 
 // shut closes a viewer's connection.
