Connections that the door counts are counted by the loop's own goroutine

The race detector found the count of accepted connections read in the poller's closing call while the accepting goroutine had written the socket (internal/edge/loop.go, OnClose). It is counted down with the closed event now.

--- a/internal/edge/loop.go
+++ b/internal/edge/loop.go
@@ -143,12 +143,6 @@
 	})
 	l.engine.OnClose(func(nb *nbio.Conn, err error) {
 		if s, ok := nb.Session().(*socket); ok {
-			if s.own == &s.conn {
-				l.mu.Lock()
-				l.inside--
-				l.room.Broadcast()
-				l.mu.Unlock()
-			}
 			l.post(event{kind: closed, sock: s, err: err})
 		}
 	})
@@ -315,6 +309,12 @@
 		}
 	case closed:
 		delete(l.open, s)
+		if s.own == &s.conn {
+			l.mu.Lock()
+			l.inside--
+			l.room.Broadcast()
+			l.mu.Unlock()
+		}
 		if !s.gone {
 			s.gone = true
 			l.core.Closed(s.own, why(e.err))
