--- a/internal/platform/life.go
+++ b/internal/platform/life.go
@@ -36,7 +36,6 @@
 // close ends all that is left, then the connections, one that still brings a request being closed before the request
 // is read, so that it is sent elsewhere, and then the program.
 func (m *Manager) close() {
-	m.over = true
 	all := make([]*call, 0, len(m.calls))
 	for _, c := range m.calls {
 		all = append(all, c)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -80,7 +80,6 @@
 	bus     bus
 
 	stopping core.Time // 0 while it serves
-	over     bool
 }
 
 type title struct{ index, uses int }
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -362,7 +362,7 @@
 		if c.phase != trying || !c.sent || w.Desc == "" {
 			return
 		}
-		m.accepted(c, w, load)
+		m.accepted(c, w) // the notes of a set-up tell its load
 	case boxes.End:
 		m.endedBy(c, w.Why, load)
 	case boxes.Info:
@@ -372,7 +372,7 @@
 	}
 }
 
-func (m *Manager) accepted(c *call, w *boxes.Message, load string) {
+func (m *Manager) accepted(c *call, w *boxes.Message) {
 	m.timers.Stop(c.timer)
 	l := c.link
 	l.tries = slices.DeleteFunc(l.tries, func(x *call) bool { return x == c })
@@ -398,7 +398,6 @@
 	a.Body = []byte(w.Desc)
 	m.say(c.viewer, a)
 	m.module.Playing(c.request.Playback, c.try, c.box.index, took)
-	_ = load // the notes at set-up tell it
 }
 
 func (m *Manager) endedBy(c *call, cause int, load string) {
--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -305,7 +305,7 @@
 	}
 	if old := m.calls[id]; old != nil { // two under one id: none of them is served on this connection
 		if old.viewer == v && old.phase != standing {
-			m.drop(old)
+			m.left(old)
 		}
 		m.bad(v, r)
 		return
@@ -326,9 +326,6 @@
 	m.module.Requested(c.request)
 }
 
-// drop takes a set-up back as if its viewer had given it up; no answer of its own follows.
-func (m *Manager) drop(c *call) { m.left(c) }
-
 // plays takes over what plays already.
 func (m *Manager) plays(v *viewer, c *call, at string) {
 	if m.calls[c.id] != nil {
@@ -362,7 +359,7 @@
 	m.say(v, rtsp.Answer(rtsp.StatusOK, r.CSeq).With("Session", id))
 	if c.phase != standing {
 		if c.viewer == v {
-			m.drop(c)
+			m.left(c)
 		}
 		return
 	}
--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -13,18 +13,16 @@
 
 // Told is what the object tells: the module's part as Site, the rest for the program round it.
 type Told struct {
-	Site      *session.Site
-	Plans     []string // the names, as positions in the lists below
-	Zones     []string
-	Kinds     []string
-	Load      []string       // the values of a load report
-	Patience  []session.Time // a plan's viewers wait so long for a set-up
-	Connect   session.Time   // a connection that is not up by then is given up
-	Idle      session.Time   // one that carries nothing is closed then
-	Tell      session.Time   // between two notes of how full a link is, 0 for none
-	Shared    int            // set-ups at once on one connection to a server
-	Open      int            // playbacks that a manager may hold
-	Withdrawn bool           // a set-up may be withdrawn at its server
+	Site     *session.Site
+	Plans    []string // the names, as positions in the lists below
+	Zones    []string
+	Kinds    []string
+	Load     []string       // the values of a load report
+	Patience []session.Time // a plan's viewers wait so long for a set-up
+	Connect  session.Time   // a connection that is not up by then is given up
+	Idle     session.Time   // one that carries nothing is closed then
+	Tell     session.Time   // between two notes of how full a link is, 0 for none
+	Shared   int            // set-ups at once on one connection to a server
 }
 
 // Read decodes the object.
@@ -38,8 +36,7 @@
 		return nil, err
 	}
 	t := &Told{Site: s, Zones: w.Localities, Kinds: w.Kinds, Load: w.LoadReport.Names, Connect: micros(w.Limits.ConnectTimeout),
-		Idle: micros(w.Limits.ConnIdle), Tell: micros(w.Domain.ToldEvery), Shared: w.Limits.StreamsPerConn,
-		Open: w.Limits.MostHeld, Withdrawn: w.Limits.Cancel}
+		Idle: micros(w.Limits.ConnIdle), Tell: micros(w.Domain.ToldEvery), Shared: w.Limits.StreamsPerConn}
 	for _, c := range w.Classes {
 		t.Plans = append(t.Plans, c.Name)
 		t.Patience = append(t.Patience, micros(c.GiveUp))
@@ -78,11 +75,9 @@
 		MaxRetryAfter  float64
 		Probes         bool
 		RetryAfter     bool
-		Cancel         bool
 		ConnIdle       float64
 		ConnectTimeout float64
 		StreamsPerConn int
-		MostHeld       int
 	}
 	LoadReport struct {
 		Names  []string
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -508,8 +508,8 @@
 	}
 }
 
-// err strikes a server for an error only when it errs on two playbacks running, neither of which erred elsewhere:
-// it guards against requests that no server can use; a server that errs on all costs one try more to tell.
+// err strikes a server for an error only when it errs on two playbacks running, the second of which erred
+// nowhere else: it guards against requests that no server can use. One that errs on all costs a try more.
 func (f *front) err(pb *playback, srv int) {
 	s := f.server(srv)
 	if s.erred && !pb.erred {
