The platform's own decisions, bounds and waits stand in one file

internal/platform/rules.go, as internal/front has one: shares of the told limits, waits as ratios of the platform's own figures, who goes for want of room. No value changed.

--- a/internal/platform/bus.go
+++ b/internal/platform/bus.go
@@ -7,12 +7,6 @@
 	"pierlink/internal/platform/feed"
 )
 
-const (
-	busBeat = 5 * core.Second / 2 // an empty frame comes each second
-	busWait = core.Second / 20    // before the first further connect; it grows to busMost
-	busMost = core.Second
-)
-
 // bus is the connection to the event bus.
 type bus struct {
 	address string
--- a/internal/platform/life.go
+++ b/internal/platform/life.go
@@ -4,19 +4,10 @@
 	"slices"
 	"strings"
 
-	"pierlink/internal/core"
 	"pierlink/internal/platform/boxes"
 	"pierlink/internal/rtsp"
 )
 
-// The platform kills no sooner than the longest patience of a viewer, counted as mostStop where it is longer, and
-// 0.7 s after its word; part of the latter is for what is sent last.
-const (
-	mostStop  = 3 * core.Second
-	afterStop = core.Second / 5
-	comeStop  = 7 * core.Second / 10 // nothing new comes later than that
-)
-
 // Stop ends the session manager: what comes from here on is refused at once, what has come is decided, and what stands
 // plays on until shortly before the platform kills.
 func (m *Manager) Stop() {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -15,25 +15,6 @@
 	"pierlink/session"
 )
 
-const leastSockets = 64
-
-// The shares of the told limits. What is left of the descriptors is the reserve: the bus, the listener, the log, and
-// connections that come and go.
-const (
-	viewerShare = 2 // one part in so many of the descriptors is for viewers
-	serverShare = 4 // and for servers
-	heldShare   = 8 // one part in so many of the memory is for what has come and waits
-)
-
-// The platform's figures.
-const (
-	forgiven = 8 * core.Second // what stood and is over is released by then, or not at all
-	sweep    = core.Second / 4
-	hush     = 3 * core.Second / 2 // a connection on which nothing whole has come for so long is closed
-	silence  = 2 * core.Second     // a server with sessions is looked for when it has said nothing for so long
-	lost     = 5 * core.Second     // and taken for gone when it could not be found for so long
-)
-
 // Figures are counts since the start, and levels.
 type Figures struct {
 	Taken, Served, Refused, Failed, Left, Bad       int
--- /dev/null
+++ b/internal/platform/rules.go
@@ -0,0 +1,83 @@
+package platform
+
+import (
+	"pierlink/internal/core"
+	"pierlink/internal/platform/boxes"
+)
+
+// What the session manager decides by itself: who keeps a connection, how long it waits for what the module does not
+// time, and what it gives up at a bound. Where playbacks go, at which rung, and whether they are taken is the module's.
+
+const leastSockets = 64
+
+// The shares of the told limits. What is left of the descriptors is the reserve: the bus, the listener, the log, and
+// connections that come and go.
+const (
+	viewerShare = 2  // one part in so many of the descriptors is for viewers
+	serverShare = 4  // and for servers
+	serverMost  = 4  // connections to one server
+	heldShare   = 8  // one part in so many of the memory is for what has come and waits
+	wayShare    = 64 // one part in so many of a viewer's patience is left for the way there and back
+
+	unreadMost = 4 * boxes.Longest // bytes that wait for a viewer that does not read
+	waitMost   = 1024              // messages that wait for a connection to a server
+)
+
+// Times that follow from the platform's own.
+const (
+	forgiven  = 8 * core.Second        // what stood and is over is released by then, or not at all
+	forgotten = forgiven - core.Second // a server that says nothing of what stands there for so long knows of it no more
+	silence   = forgiven / 4           // one that says nothing at all is looked for after so long
+	lost      = 5 * forgiven / 8       // and taken for gone when it could not be found for so long
+	owedIn    = 3 * core.Second        // a bad client is owed a word or a close by then
+	hush      = owedIn / 2             // a connection on which nothing whole has come for so long is closed
+	grace     = core.Second / 20       // what may cross on the way; a newcomer has so long to say something
+	sweep     = core.Second / 4        // between two looks after all that
+	unheard   = core.Second / 4        // a release that is not answered by then is sent again
+	most      = 4                      // times at most
+)
+
+const (
+	busBeat = 5 * core.Second / 2 // an empty frame comes each second
+	busWait = core.Second / 20    // before the first further connect; it grows to busMost
+	busMost = core.Second
+)
+
+// The platform kills no sooner than the longest patience of a viewer, counted as mostStop where it is longer, and
+// 0.7 s after its word; part of the latter is for what is sent last.
+const (
+	mostStop  = 3 * core.Second
+	afterStop = core.Second / 5
+	comeStop  = 7 * core.Second / 10 // nothing new comes later than that
+)
+
+// tells is whether a server with sessions of this manager sends notes of one of them often enough to miss them: a
+// machine that was away and is back lets connections come up, and knows nothing of what stood.
+func (m *Manager) tells() bool {
+	t := m.given.Told
+	return t.Tell > 0 && t.Tell+t.Site.Fleet.NoteDelay < forgiven-2*core.Second
+}
+
+// Viewers is how many connections from viewers are held at most.
+func Viewers(g *Given) int { return g.Sockets / viewerShare }
+
+// perServer is how many connections a server may have while so many are ready.
+func perServer(g *Given, ready int) int {
+	return min(max(g.Sockets/serverShare/max(ready, 1), 1), serverMost)
+}
+
+// owedMost is how many releases may be owed: as many as ever stood at once, twice.
+func owedMost(stood int) int { return 2*stood + leastSockets }
+
+// missed ranks a connection by how much it would be: the lowest goes first, and of equals the one with the least time.
+func (v *viewer) missed(now core.Time) (int, core.Time) {
+	switch {
+	case v.open > 0:
+		return 3, -v.came
+	case v.spoke > 0:
+		return 1, v.spoke
+	case now-v.came > grace:
+		return 0, v.came
+	}
+	return 2, v.came
+}
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -49,6 +49,7 @@
 	readers map[string]*rtsp.Parser
 	lines   map[string]*boxes.Reader
 	test    string
+	stuck   map[string]int // bytes that a connection does not take
 }
 
 func (s *stage) act(format string, a ...any) {
@@ -126,8 +127,8 @@
 	h.s.act("%s", text)
 }
 
-func (s *stage) Pending(*core.Conn) int { return 0 }
-func (s *stage) Close(c *core.Conn)     { s.act("%s closed", s.names[c]) }
+func (s *stage) Pending(c *core.Conn) int { return s.stuck[s.names[c]] }
+func (s *stage) Close(c *core.Conn)       { s.act("%s closed", s.names[c]) }
 
 func id(name string) string { return strings.Repeat(name, 16) }
 
@@ -182,6 +183,8 @@
 			s.t.Fatalf("%s: %v", s.line, err)
 		}
 		say(text)
+	case what[0] == "stuck":
+		s.stuck[who], _ = strconv.Atoi(what[1])
 	case what[0] == "fill":
 		n, _ := strconv.Atoi(what[1])
 		say(strings.Repeat("x", n))
@@ -332,7 +335,7 @@
 			}
 			for part := range strings.SplitSeq(string(text), "\n---\n") { // each with a manager of its own
 				s := &stage{t: t, conns: map[string]*core.Conn{}, names: map[*core.Conn]string{}, readers: map[string]*rtsp.Parser{},
-					lines: map[string]*boxes.Reader{}}
+					lines: map[string]*boxes.Reader{}, stuck: map[string]int{}}
 				s.play(part)
 			}
 		})
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -87,7 +87,7 @@
 			ready++
 		}
 	}
-	m.perBox = min(max(m.given.Sockets/serverShare/max(ready, 1), 1), 4)
+	m.perBox = perServer(m.given, ready)
 	m.module.Listed(l)
 	m.trace("list %d whole %v %+v", e.Number, e.Whole, e.Servers)
 }
@@ -253,7 +253,7 @@
 	case pick == nil:
 	case pick.up:
 		m.send(pick, w)
-	case len(pick.waiting) < 1024:
+	case len(pick.waiting) < waitMost:
 		pick.waiting = append(pick.waiting, w.Append(nil))
 	}
 }
@@ -441,19 +441,12 @@
 	m.module.Noted(session.Note{Playback: c.request.Playback, Server: c.box.index, Kind: kind, Value: v})
 }
 
-// tells is whether a server with sessions of this manager sends notes of one of them often enough to miss them: a
-// machine that was away and is back lets connections come up, and knows nothing of what stood.
-func (m *Manager) tells() bool {
-	t := m.given.Told
-	return t.Tell > 0 && t.Tell+t.Site.Fleet.NoteDelay < forgiven-2*core.Second
-}
-
 // lookAfter looks for servers that have sessions and say nothing, and forgets those that are gone.
 func (m *Manager) lookAfter() {
 	for id, b := range m.boxes {
 		switch quiet := m.now - b.heard; {
 		case len(b.standing) == 0:
-		case m.tells() && m.now-b.said > forgiven-core.Second:
+		case m.tells() && m.now-b.said > forgotten:
 			m.cut(b, "nothing is heard of what stands there", nil)
 		case b.state == session.Gone && (len(b.links) == 0 || quiet > lost), quiet > lost:
 			m.cut(b, "not heard of for "+strconv.FormatInt(quiet/core.Millisecond, 10)+" ms", nil)
--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -58,38 +58,20 @@
 	sent   int
 }
 
-// Viewers is how many connections from viewers are held at most.
-func Viewers(g *Given) int { return g.Sockets / viewerShare }
-
 func (m *Manager) comes(c *core.Conn, _ string) {
 	v := &viewer{m: m, conn: c, came: m.now, parser: rtsp.Parser{Bounds: bounds}}
 	c.Owner = v
 	m.viewers = append(m.viewers, v)
 }
 
-// grace is how long a newcomer has to say something before its place is anybody's; the platform's own measure of what
-// may cross on the way.
-const grace = core.Second / 20
-
 // makeRoom closes connections over the bound, those first that are missed least: ones that have said nothing whole in
 // their grace, then the longest idle, then newcomers, and last ones with a set-up open. It is done at a turn's end, when
 // all that has come is read.
 func (m *Manager) makeRoom() {
-	rank := func(v *viewer) (int, core.Time) {
-		switch {
-		case v.open > 0:
-			return 3, -v.came
-		case v.spoke > 0:
-			return 1, v.spoke
-		case m.now-v.came > grace:
-			return 0, v.came
-		}
-		return 2, v.came
-	}
 	for len(m.viewers) > Viewers(m.given) {
 		pick := slices.MinFunc(m.viewers, func(a, b *viewer) int {
-			i, s := rank(a)
-			j, t := rank(b)
+			i, s := a.missed(m.now)
+			j, t := b.missed(m.now)
 			return cmp.Or(cmp.Compare(i, j), cmp.Compare(s, t))
 		})
 		m.trace("no room: closing a connection %d us old, last heard %d, %d open", m.now-pick.came, pick.spoke, pick.open)
@@ -290,9 +272,6 @@
 	return c, at, true
 }
 
-// wayShare: one part in so many of a viewer's patience is left for the way there and back.
-const wayShare = 64
-
 func (m *Manager) setup(v *viewer, id string, r *rtsp.Message) {
 	c, at, ok := m.read(id, r)
 	if !ok {
@@ -398,7 +377,7 @@
 	}
 	m.trace("to viewer %s %s %d", a.Get("Session"), a.Method, a.Status)
 	m.net.Send(v.conn, a.Append(nil))
-	if m.net.Pending(v.conn) > 4*boxes.Longest {
+	if m.net.Pending(v.conn) > unreadMost {
 		m.queue = append(m.queue, func() { m.shut(v) })
 	}
 }
@@ -423,7 +402,7 @@
 // release tells a viewer that what stood is over.
 func (m *Manager) release(v *viewer, id string, cause int) {
 	r := &release{id: id, cause: cause, since: m.now, on: v}
-	if len(m.owed) > 2*len(m.pbs)+owedAtLeast { // more than ever stood at once: the oldest is not answered any more
+	if len(m.owed) > owedMost(len(m.pbs)) { // more than ever stood at once: the oldest is not answered any more
 		m.owed = slices.Delete(m.owed, 0, 1)
 	}
 	m.owed = append(m.owed, r)
@@ -433,12 +412,6 @@
 	m.writeRelease(r, m.heir(r.on, nil))
 }
 
-const (
-	owedAtLeast = 64
-	unheard     = core.Second / 4 // a release that is not answered by then is sent again
-	most        = 4               // times at most
-)
-
 // sendRelease sends one again, elsewhere if that can be.
 func (m *Manager) sendRelease(r *release) {
 	v := m.heir(nil, r.on)
