Viewers' connections stay while something stands on them; requests in pieces are waited for

Ruled out: want of room (no such line in the trace), a lost release (0 sent again). Now a connection counts what stands on it; it is closed for idleness when it carries nothing for 6 s (viewers close theirs after 4 s), and for want of room after those that carry nothing. A message in pieces keeps its connection while more of it comes, 2.5 s at most, and an idle connection in the midst of a message is not closed.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -328,9 +328,7 @@
 	if c.phase == trying {
 		c.box.tries--
 	}
-	if c.phase == standing {
-		delete(c.box.standing, c)
-	}
+	m.sits(c)
 	if m.calls[c.id] == c {
 		delete(m.calls, c.id)
 	}
@@ -338,6 +336,28 @@
 	c.phase, c.desc, c.viewer, c.link = done, "", nil, nil
 }
 
+// stands books what stands at its server, and on the connection of its viewer.
+func (m *Manager) stands(c *call) {
+	c.phase, c.since = standing, m.now
+	c.box.standing[c] = struct{}{}
+	c.box.said = m.now
+	c.viewer.served = true
+	c.viewer.standing++
+	m.front = c.viewer
+}
+
+// sits takes what stood off the books again; it does nothing for what does not stand.
+func (m *Manager) sits(c *call) {
+	if c.phase != standing {
+		return
+	}
+	delete(c.box.standing, c)
+	if c.viewer != nil {
+		c.viewer.standing--
+		c.viewer.used = m.now
+	}
+}
+
 // take hands a playback to the module under its numbers.
 func (m *Manager) take(c *call) {
 	r := &c.request
@@ -377,7 +397,7 @@
 		if o != session.OK && o != session.Cancelled {
 			m.fig.Cut++
 		}
-		delete(c.box.standing, c)
+		m.sits(c)
 		delete(m.calls, c.id)
 		c.phase = done
 	} else {
--- a/internal/platform/rules.go
+++ b/internal/platform/rules.go
@@ -30,9 +30,11 @@
 	silence   = forgiven / 4           // one that says nothing at all is looked for after so long
 	lost      = 5 * forgiven / 8       // and taken for gone when it could not be found for so long
 	owedIn    = 3 * core.Second        // a bad client is owed a word or a close by then
-	hush      = owedIn / 2             // a connection on which nothing whole has come for so long is closed
+	hush      = owedIn / 2             // a connection that owes a whole message and brings nothing for so long is closed
+	slowest   = owedIn - 2*sweep       // as is one whose message is not whole by then, though more of it keeps coming
 	grace     = core.Second / 20       // what may cross on the way; a newcomer has so long to say something
 	sweep     = core.Second / 4        // between two looks after all that
+	kept      = 6 * core.Second        // viewers close what carries no session for 4 s; one that does not goes then
 	unheard   = core.Second / 4        // a release that is not answered by then is sent again
 	most      = 4                      // times at most
 )
@@ -69,15 +71,28 @@
 // owedMost is how many releases may be owed: as many as ever stood at once, twice.
 func owedMost(stood int) int { return 2*stood + leastSockets }
 
+// overdue tells that a connection has kept a whole message waiting for too long.
+func (v *viewer) overdue(now core.Time) bool {
+	begun := v.partAt
+	if v.spoke == 0 {
+		begun = v.came
+	}
+	return begun > 0 && (now-max(v.heard, begun) > hush || now-begun > slowest)
+}
+
 // missed ranks a connection by how much it would be: the lowest goes first, and of equals the one with the least time.
 func (v *viewer) missed(now core.Time) (int, core.Time) {
 	switch {
 	case v.open > 0:
-		return 3, -v.came
+		return 4, -v.came
+	case v.partAt > 0 && (v.spoke > 0 || now-v.heard <= grace):
+		return 3, v.partAt
+	case v.spoke > 0 && v.standing > 0: // what stands is told of on another, if there is one
+		return 2, v.used
 	case v.spoke > 0:
-		return 1, v.spoke
+		return 1, v.used
 	case now-v.came > grace:
 		return 0, v.came
 	}
-	return 2, v.came
+	return 3, v.came
 }
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -26,7 +26,7 @@
 "classes":[{"name":"live","effect":"EFFECT","giveUp":4,"promise":1,"worth":1,"stream":true}],
 "domain":{"cabinets":1,"positions":2,"classTop":[1],"lowestRung":[0],"isLive":[true],"rateFactor":[1],"ladderKb":[100,200],"levelWorth":[0.5,1],
 "kindSlots":[20],"join":0.3,"seenAfter":0.5,"toldEvery":3,"kbPerWeight":4000,"linksKb":8000,"uplinkKb":8000},
-"limits":{"maxAttempts":3,"maxRetryAfter":0.5,"retryAfter":true,"probes":PROBES,"connIdle":15,"connectTimeout":0.25,"streamsPerConn":32},
+"limits":{"maxAttempts":3,"maxRetryAfter":0.5,"retryAfter":true,"probes":PROBES,"connIdle":IDLE,"connectTimeout":0.25,"streamsPerConn":32},
 "loadReport":{"names":["x0"],"source":"piggyback"},"prices":{"crossZone":0.01,"moves":0.1,"probe":0.004},
 "rules":{"coldFrom":0.5,"warmUp":5,"fallMultiple":2,"overloadFor":2}}}`
 
@@ -268,7 +268,7 @@
 }
 
 func (s *stage) play(text string) {
-	set := map[string]string{"MEMORY": "64", "SOCKETS": "256", "PROBES": "false", "EFFECT": "read_like"}
+	set := map[string]string{"MEMORY": "64", "SOCKETS": "256", "PROBES": "false", "EFFECT": "read_like", "IDLE": "15"}
 	const begin = 1000 * core.Second
 	for _, line := range strings.Split(text, "\n") {
 		line, _, _ = strings.Cut(line, "#")
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -379,8 +379,8 @@
 	c.link = nil
 	c.box.tries--
 	c.viewer.open--
-	c.viewer.served = true
-	m.front = c.viewer
+	took := m.now - c.since
+	m.stands(c)
 	for _, r := range slices.Clone(m.owed) {
 		if r.sent == 0 {
 			m.sendRelease(r)
@@ -388,10 +388,6 @@
 	}
 	m.held -= len(c.desc)
 	c.desc = ""
-	c.phase = standing
-	took := m.now - c.since
-	c.since, c.box.said = m.now, m.now
-	c.box.standing[c] = struct{}{}
 	m.fig.Served++
 	m.fig.Tries[session.OK]++
 	a := rtsp.Answer(rtsp.StatusOK, setupSeq).With("Session", c.id)
--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -36,16 +36,19 @@
 
 // viewer is one connection from viewers, which carries many sessions.
 type viewer struct {
-	m       *Manager
-	conn    *core.Conn
-	parser  rtsp.Parser
-	came    core.Time
-	spoke   core.Time // when the last whole message came, 0 for never
-	partAt  core.Time // when what is not whole began, 0 while nothing is
-	held    int
-	open    int // set-ups without an answer
-	served  bool
-	closing bool
+	m        *Manager
+	conn     *core.Conn
+	parser   rtsp.Parser
+	came     core.Time
+	heard    core.Time // when bytes came last
+	spoke    core.Time // when the last whole message came, 0 for never
+	used     core.Time // when something on it was last heard or over
+	partAt   core.Time // when what is not whole began, 0 while nothing is
+	held     int
+	open     int // set-ups without an answer
+	standing int // sessions set up on it: their ends are told on it
+	served   bool
+	closing  bool
 }
 
 // release is owed to a viewer until it has said that it heard it.
@@ -65,8 +68,8 @@
 }
 
 // makeRoom closes connections over the bound, those first that are missed least: ones that have said nothing whole in
-// their grace, then the longest idle, then newcomers, and last ones with a set-up open. It is done at a turn's end, when
-// all that has come is read.
+// their grace, then the longest idle, those on which nothing stands before others, then newcomers and ones in the midst
+// of a message, and last ones with a set-up open. It is done at a turn's end, when all that has come is read.
 func (m *Manager) makeRoom() {
 	for len(m.viewers) > Viewers(m.given) {
 		pick := slices.MinFunc(m.viewers, func(a, b *viewer) int {
@@ -138,6 +141,7 @@
 	if v.closing {
 		return
 	}
+	v.heard = m.now
 	err := v.parser.Feed(b, v)
 	if v.closing {
 		return
@@ -185,7 +189,7 @@
 // Message takes a whole one.
 func (v *viewer) Message(r *rtsp.Message) {
 	m := v.m
-	v.spoke, v.partAt = m.now, 0
+	v.spoke, v.used, v.partAt = m.now, m.now, 0
 	id := r.Get("Session")
 	m.trace("from viewer %s %s %d %s %v %q", id, r.Method, r.Status, r.URI, r.Header, r.Body)
 	if !r.IsRequest() {
@@ -316,12 +320,9 @@
 		m.release(v, c.id, causeReset)
 		return
 	}
-	c.viewer, c.desc, c.try, c.phase, c.box, c.since = v, "", 0, standing, b, m.now
-	v.served = true
-	m.front = v
+	c.viewer, c.desc, c.try, c.box = v, "", 0, b
 	m.take(c)
-	b.standing[c] = struct{}{}
-	b.said = m.now
+	m.stands(c)
 	m.module.Opened(c.request, b.index)
 	if len(b.links) == 0 {
 		m.dial(b)
@@ -449,11 +450,11 @@
 func (m *Manager) sweep() {
 	for _, v := range slices.Clone(m.viewers) {
 		switch {
-		case v.spoke == 0 && m.now-v.came > hush, v.partAt > 0 && m.now-v.partAt > hush:
+		case v.overdue(m.now):
 			m.fig.Bad++
 			m.say(v, rtsp.Answer(rtsp.StatusRequestTimeout, -1))
 			m.shut(v)
-		case v.open == 0 && v.spoke > 0 && m.now-v.spoke > m.given.Told.Idle/2:
+		case v.open == 0 && v.standing == 0 && v.partAt == 0 && v.spoke > 0 && m.now-v.used > kept:
 			m.shut(v)
 		}
 	}
