A dial that is given up ends at once, with its descriptor

At fault: Loop.Dial's goroutine, which knew nothing of Close. The dial has a context now, that Close cancels.

--- a/internal/edge/loop.go
+++ b/internal/edge/loop.go
@@ -3,6 +3,7 @@
 package edge
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"net"
@@ -92,6 +93,7 @@
 	waiting atomic.Bool // a drained event is due
 	gone    bool        // for the core
 	early   bool        // closed before it was connected
+	cancel  func()      // ends the dial; nil where it was accepted
 }
 
 // New makes a loop that listens on an address, or nowhere if it is empty. The core is made with the loop
@@ -331,19 +333,21 @@
 
 // Dial connects, under TLS where the connection is to be secure.
 func (l *Loop) Dial(c *core.Conn, addr string) {
-	s := &socket{own: c}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &socket{own: c, cancel: cancel}
 	c.Socket = s
 	if c.Secure {
-		go l.secureTo(s, addr)
+		go l.secureTo(ctx, s, addr)
 		return
 	}
-	go l.dial(s, addr)
+	go l.dial(ctx, s, addr)
 }
 
 // dial connects, from an address of its own where it has one. The poller's own way to connect is not taken: it goes
 // to 0.0.0.0 for every address of four bytes. OnOpen tells that the connection is there, before anything comes on it.
-func (l *Loop) dial(s *socket, addr string) {
-	c, err := from(s.own.From, addr, l.has.Dials)
+func (l *Loop) dial(ctx context.Context, s *socket, addr string) {
+	defer s.cancel()
+	c, err := from(ctx, s.own.From, addr, l.has.Dials)
 	if err == nil {
 		var nb *nbio.Conn
 		if nb, err = nbio.NBConn(c); err == nil {
@@ -356,13 +360,13 @@
 	}
 }
 
-// from dials, from an address unless that is empty.
-func from(own, addr string, within time.Duration) (net.Conn, error) {
+// from dials, from an address unless that is empty. A dial given up gives its descriptor back at once.
+func from(ctx context.Context, own, addr string, within time.Duration) (net.Conn, error) {
 	d := net.Dialer{Timeout: within}
 	if own != "" {
 		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(own)}
 	}
-	return d.Dial("tcp", addr)
+	return d.DialContext(ctx, "tcp", addr)
 }
 
 func refused(err error) error {
@@ -406,6 +410,7 @@
 	}
 	if s.nb == nil {
 		s.early, s.gone = true, true
+		s.cancel()
 		return
 	}
 	if l.Pending(c) == 0 {
--- a/internal/edge/room_test.go
+++ b/internal/edge/room_test.go
@@ -1,7 +1,12 @@
 package edge_test
 
 import (
+	"errors"
+	"fmt"
 	"net"
+	"os"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -137,3 +142,55 @@
 func (d *dialing) Dialed(_ *core.Conn, err error) { d.done <- err }
 func (d *dialing) Closed(*core.Conn, error)       {}
 func (d *dialing) Settle() core.Time              { return core.Never }
+
+// A dial that its core gives up gives its descriptor back then, not when its time is over.
+func TestDialsGivenUpEnd(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := name.(*syscall.SockaddrInet4).Port
+	addr := fmt.Sprintf("127.0.0.1:%d", port)
+	asked := func() bool { // whether a connection to the port is asked for and not answered
+		rows, err := os.ReadFile("/proc/net/tcp")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return strings.Contains(string(rows), fmt.Sprintf(" 0100007F:%04X 02 ", port))
+	}
+	await := func(want bool, what string) {
+		t.Helper()
+		for end := time.Now().Add(10 * time.Second); asked() != want; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal(what)
+			}
+		}
+	}
+	d := &dialing{done: make(chan error, 100)}
+	l, err := edge.NewIn(edge.Room{Read: 4096, Mail: 1 << 20, Dials: time.Minute}, "", func(n core.Net) core.Core { d.net = n; return d })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Stop(true)
+	var conns []*core.Conn
+	for range 8 { // more than nobody accepts from
+		c := &core.Conn{}
+		conns = append(conns, c)
+		l.Do(func() { d.net.Dial(c, addr) })
+	}
+	await(true, "all connections came up")
+	l.Do(func() {
+		for _, c := range conns {
+			d.net.Close(c)
+		}
+	})
+	await(false, "a dial given up goes on")
+}
--- a/internal/edge/secure.go
+++ b/internal/edge/secure.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"io"
@@ -54,8 +55,9 @@
 func (l *Loop) Trust(t *tls.Config) { l.trust = t }
 
 // secureTo connects. The handshake is done with the first bytes; where it fails the connection ends.
-func (l *Loop) secureTo(s *socket, addr string) {
-	c, err := from(s.own.From, addr, l.has.Dials)
+func (l *Loop) secureTo(ctx context.Context, s *socket, addr string) {
+	defer s.cancel()
+	c, err := from(ctx, s.own.From, addr, l.has.Dials)
 	if err != nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			err = core.ErrRefused
