Crossings on the platform: stale answers, lost withdrawals, idle and refused connections

From the reading of shutdown, list, retries, idle closing and hand-overs. Each is forced by a scenario in testdata (crossings.txt, bad-servers.txt) or bus_test.go and was seen to fail without its fix: - message took an accept or end by id and server: the late answer to a withdrawn try served (or ended) a later one of the same id on another connection. Now a set-up is decided on its own connection only. - what was to be told a server waited on a connection; when that did not come up it was lost, and what ran there stood. It waits with the server now, for 8 s, and connections are made for it. - nothing retired a connection before the servers' idle time: a set-up could meet its close. Now only a server that had reset its last connection and refuses twice, 125 ms apart, is taken for ended.

--- a/internal/platform/bus.go
+++ b/internal/platform/bus.go
@@ -64,7 +64,7 @@
 		m.net.Close(b.conn)
 	}
 	b.conn, b.up = nil, false
-	b.again = m.now + b.wait
+	b.again = m.now + b.wait/2 + core.Time(m.chance()*float64(b.wait/2)) // all lost it at once; they do not ask at once
 	b.wait = min(2*b.wait, busMost)
 	m.timers.Set(nil, b.again, m.lookAfterBus)
 }
--- a/internal/platform/life.go
+++ b/internal/platform/life.go
@@ -32,6 +32,7 @@
 		all = append(all, c)
 	}
 	slices.SortFunc(all, func(a, b *call) int { return strings.Compare(a.id, b.id) })
+	m.closed = true
 	for _, c := range all {
 		if c.phase != standing {
 			if c.phase == trying {
@@ -42,6 +43,7 @@
 		}
 		m.release(c.viewer, c.id, causeReset)
 		m.tell(c.box, &boxes.Message{Op: boxes.End, Call: c.id, Why: causeOver})
+		m.finish(c)
 	}
 	m.timers.Set(nil, m.now+afterStop/2, func() {
 		for _, v := range slices.Clone(m.viewers) {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -9,6 +9,8 @@
 	"hash/crc32"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pierlink/internal/core"
 	"pierlink/internal/platform/boxes"
 	"pierlink/internal/rtsp"
@@ -36,6 +38,7 @@
 	net    core.Net
 	module session.Manager
 	now    core.Time
+	came   core.Time // when the event at hand did
 	timers core.Timers
 	queue  []func() // outcomes that a turn's own actions had
 	wake   map[uint64]*core.Timer
@@ -61,6 +64,7 @@
 	bus     bus
 
 	stopping core.Time // 0 while it serves
+	closed   bool      // all is answered and released; the module is not asked any more
 }
 
 type title struct{ index, uses int }
@@ -132,15 +136,15 @@
 
 // At begins a turn.
 func (m *Manager) At(now core.Time) {
-	m.now = now
+	m.now, m.came = now, now
 	m.module.At(now)
 }
 
 // Turned counts how long a turn took.
 func (m *Manager) Turned(_, took core.Time) { m.fig.Longest = max(m.fig.Longest, took) }
 
-// Came is when an event came.
-func (m *Manager) Came(core.Time) {}
+// Came is when an event came, which the turn may find late.
+func (m *Manager) Came(at core.Time) { m.came = min(at, m.now) }
 
 // Settle ends a turn. What has come is looked at before time runs out for anything: a manager that stood still finds
 // both.
@@ -153,7 +157,9 @@
 
 func (m *Manager) settle() {
 	for {
-		m.module.Settle(m)
+		if !m.closed {
+			m.module.Settle(m)
+		}
 		if len(m.queue) == 0 {
 			return
 		}
@@ -209,11 +215,17 @@
 
 // number is an id of this manager's own making.
 func (m *Manager) number() string {
-	b := binary.BigEndian.AppendUint64(nil, m.given.Seed)
+	b := m.draw()
+	return fmt.Sprintf("%08x%08x", crc32.ChecksumIEEE(b), crc32.ChecksumIEEE(append(b, 1)))
+}
+
+// chance is the next number in [0,1).
+func (m *Manager) chance() float64 { return float64(xxhash.Sum64(m.draw())>>11) / (1 << 53) }
+
+// draw is the seed and the next place in its row.
+func (m *Manager) draw() []byte {
 	m.draws++
-	b = binary.BigEndian.AppendUint32(b, m.draws)
-	a := crc32.ChecksumIEEE(b)
-	return fmt.Sprintf("%08x%08x", a, crc32.ChecksumIEEE(append(b, 1)))
+	return binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint64(nil, m.given.Seed), m.draws)
 }
 
 // The module's actions.
--- a/internal/platform/rules.go
+++ b/internal/platform/rules.go
@@ -3,6 +3,7 @@
 import (
 	"pierlink/internal/core"
 	"pierlink/internal/platform/boxes"
+	"pierlink/session"
 )
 
 // What the session manager decides by itself: who keeps a connection, how long it waits for what the module does not
@@ -18,6 +19,7 @@
 	serverMost  = 4  // connections to one server
 	heldShare   = 8  // one part in so many of the memory is for what has come and waits
 	wayShare    = 64 // one part in so many of a viewer's patience is left for the way there and back
+	idleShare   = 4  // and of the servers' idle time, in which a connection is retired
 
 	unreadMost = 4 * boxes.Longest // bytes that wait for a viewer that does not read
 	waitMost   = 1024              // messages that wait for a connection to a server
@@ -80,6 +82,17 @@
 	return begun > 0 && (now-max(v.heard, begun) > hush || now-begun > slowest)
 }
 
+// idle tells that a connection to a server has carried nothing for so long that the server may be closing it: what is
+// written then may or may not run.
+func (l *link) idle(told, now core.Time) bool { return l.up && now-l.used > told-told/idleShare }
+
+// dead tells whether a server that refuses connections has ended, and all that stood there with it. A process that ends
+// resets its connections and listens no more; one that has no room for newcomers refuses for a while too, one that drains
+// for good. Where neither is sure the list or its silence tells.
+func (m *Manager) dead(b *box) bool {
+	return b.state == session.Ready && b.brokenAt > 0 && m.now-max(b.refusedAt, b.brokenAt) >= sweep/2
+}
+
 // missed ranks a connection by how much it would be: the lowest goes first, and of equals the one with the least time.
 func (v *viewer) missed(now core.Time) (int, core.Time) {
 	switch {
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -150,6 +150,11 @@
 
 func (s *stage) event(words []string) {
 	who, what := words[0], words[1:]
+	if len(what) > 2 && what[0] == "late" { // it came so many milliseconds before its turn
+		ms, _ := strconv.Atoi(what[1])
+		s.m.Came(s.now - core.Time(ms)*core.Millisecond)
+		what = what[2:]
+	}
 	c := s.conns[who]
 	if c == nil && who != "stop" && who != "wait" && who != "renew" {
 		c = &core.Conn{}
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -29,7 +29,16 @@
 	heard     core.Time // it let a connection come up, or sent something
 	said      core.Time // it sent something of what stands there
 	dialledAt core.Time
+	brokenAt  core.Time // its last connection was reset, 0 once another is up
+	refusedAt core.Time // the first of its refusals since then
 	goneAt    core.Time
+	owed      []owing // withdrawals and the like that no connection has taken yet
+}
+
+// owing is a message for a server that belongs to no connection.
+type owing struct {
+	line []byte
+	by   core.Time // it matters until then
 }
 
 // link is one connection to a server. Set-ups of many playbacks share it.
@@ -41,9 +50,9 @@
 	closing bool
 	stale   bool    // something on it went unanswered: it takes nothing new
 	tries   []*call // whose set-up is on it, or waits for it
-	waiting [][]byte
 	timer   *core.Timer
-	used    core.Time
+	upAt    core.Time
+	used    core.Time // something passed on it
 }
 
 // listed takes an event of the list.
@@ -67,11 +76,17 @@
 			}
 			m.boxes[s.ID] = b
 		}
+		moved := b.address != s.Address
 		b.state, b.address = s.State, s.Address
 		if b.started != s.Started {
 			b.started = s.Started
 			m.cut(b, "it has started anew", func(c *call) bool { return c.since < b.started })
 		}
+		for _, l := range slices.Clone(b.links) { // a machine that was away has not reset them
+			if moved || l.up && l.upAt < b.started-core.Millisecond {
+				m.linkGone(l, errors.New("it led to an earlier process"))
+			}
+		}
 		l.Entries = append(l.Entries, session.Entry{Server: b.index, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell, State: s.State,
 			Started: s.Started, Weight: s.Weight})
 	}
@@ -107,7 +122,7 @@
 func (m *Manager) linkTo(b *box) *link {
 	var best *link
 	for _, l := range b.links {
-		if l.stale {
+		if l.stale || l.idle(m.given.Told.Idle, m.now) {
 			continue
 		}
 		if best == nil || len(l.tries) < len(best.tries) {
@@ -184,18 +199,21 @@
 		if errors.Is(err, core.ErrRefused) {
 			if slices.ContainsFunc(b.links, func(x *link) bool { return x.up }) {
 				b.heard = m.now // it takes no newcomers, but a process that had died would have reset the others
-			} else if b.state == session.Ready { // one that drains may take none and go on; the list tells its end
-
+			} else if b.refusedAt == 0 {
+				b.refusedAt = m.now
+			} else if m.dead(b) {
 				m.cut(b, "it refuses connections", nil)
 			}
 		}
 		return
 	}
-	l.up, b.heard = true, m.now
-	for _, w := range l.waiting {
-		m.net.Send(l.conn, w)
+	l.up, l.upAt, l.used, b.heard, b.brokenAt, b.refusedAt = true, m.now, m.now, m.now, 0, 0
+	for _, o := range b.owed {
+		if m.now <= o.by {
+			m.net.Send(l.conn, o.line)
+		}
 	}
-	l.waiting = nil
+	b.owed = nil
 	for _, c := range slices.Clone(l.tries) {
 		if b.state != session.Ready {
 			m.ended(c, session.NotSent, "")
@@ -209,7 +227,6 @@
 func (m *Manager) offer(c *call) {
 	left := c.timer.At() - m.now
 	c.sent = true
-	c.link.used = m.now
 	m.send(c.link, &boxes.Message{Op: boxes.Offer, Call: c.id, Desc: c.desc, With: map[string]string{"class": c.plan, "key": c.key,
 		"left": strconv.FormatInt(max(left/core.Millisecond, 1), 10), "rung": strconv.Itoa(c.rung)}})
 }
@@ -233,28 +250,26 @@
 
 func (m *Manager) send(l *link, w *boxes.Message) {
 	m.trace("to %s %s", l.box.name, w.Append(nil))
+	l.used = m.now
 	m.net.Send(l.conn, w.Append(nil))
 }
 
 // tell writes what belongs to no connection of its own.
 func (m *Manager) tell(b *box, w *boxes.Message) {
-	var pick *link
 	for _, l := range b.links {
-		if l.up {
-			pick = l
-			break
+		if l.up && !l.idle(m.given.Told.Idle, m.now) {
+			m.send(l, w)
+			return
 		}
-		pick = l
 	}
-	if pick == nil {
-		pick = m.dial(b)
+	if b.state == session.Gone && len(b.links) == 0 {
+		return // its process has ended, and what stood there with it
+	}
+	if len(b.owed) < waitMost {
+		b.owed = append(b.owed, owing{w.Append(nil), m.now + forgiven})
 	}
-	switch {
-	case pick == nil:
-	case pick.up:
-		m.send(pick, w)
-	case len(pick.waiting) < waitMost:
-		pick.waiting = append(pick.waiting, w.Append(nil))
+	if !slices.ContainsFunc(b.links, func(l *link) bool { return !l.up }) {
+		m.dial(b)
 	}
 }
 
@@ -303,7 +318,7 @@
 	if l.closing {
 		return
 	}
-	l.box.heard = m.now
+	l.box.heard, l.used = m.now, m.now
 	err := l.reader.Feed(b, func(w *boxes.Message) { m.message(l, w) })
 	if err == nil || l.closing {
 		return
@@ -321,6 +336,7 @@
 	b := l.box
 	m.trace("connection to %s gone: %v", b.name, err)
 	m.closeLink(l)
+	b.brokenAt = m.now
 	for _, c := range slices.Clone(l.tries) {
 		sent := c.sent
 		m.ended(c, session.Reset, "")
@@ -353,8 +369,8 @@
 		return
 	}
 	c := m.calls[w.Call]
-	if c == nil || c.box != b || c.phase == asked {
-		return // over by now, or not this manager's
+	if c == nil || c.box != b || c.phase == asked || c.phase == trying && c.link != l {
+		return // over by now, not this manager's, or the answer to an earlier try
 	}
 	b.said = m.now
 	switch w.Op {
@@ -437,9 +453,19 @@
 	m.module.Noted(session.Note{Playback: c.request.Playback, Server: c.box.index, Kind: kind, Value: v})
 }
 
-// lookAfter looks for servers that have sessions and say nothing, and forgets those that are gone.
+// lookAfter looks for servers that have sessions and say nothing, retires connections before the servers close them for
+// idleness, and forgets servers that are gone.
 func (m *Manager) lookAfter() {
 	for id, b := range m.boxes {
+		for _, l := range slices.Clone(b.links) {
+			if l.up && len(l.tries) == 0 && len(b.tests) == 0 && l.idle(m.given.Told.Idle, m.now) && (len(b.standing) == 0 || len(b.links) > 1) {
+				m.closeLink(l)
+			}
+		}
+		b.owed = slices.DeleteFunc(b.owed, func(o owing) bool { return m.now > o.by })
+		if len(b.links) == 0 && b.state != session.Gone && len(b.owed)+len(b.standing) > 0 && m.now-b.dialledAt > sweep/2 {
+			m.dial(b)
+		}
 		switch quiet := m.now - b.heard; {
 		case len(b.standing) == 0:
 		case m.tells() && m.now-b.said > forgotten:
--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -271,7 +271,7 @@
 		return nil, "", false
 	}
 	left *= core.Millisecond
-	q.Abandon = m.now + left - left/wayShare
+	q.Abandon = m.came + left - left/wayShare
 	c.rung = told.Site.Plans[q.Plan].Floor
 	return c, at, true
 }
@@ -316,7 +316,7 @@
 	}
 	n, err := feed.ID(at)
 	b := m.boxes[n]
-	if err != nil || b == nil || b.state == session.Gone {
+	if err != nil || b == nil || b.state == session.Gone || m.closed {
 		m.release(v, c.id, causeReset)
 		return
 	}
@@ -337,10 +337,8 @@
 		return
 	}
 	m.say(v, rtsp.Answer(rtsp.StatusOK, r.CSeq).With("Session", id))
-	if c.phase != standing {
-		if c.viewer == v {
-			m.left(c)
-		}
+	if c.phase != standing { // a session belongs to no connection, nor does what gives it up
+		m.left(c)
 		return
 	}
 	m.tell(c.box, &boxes.Message{Op: boxes.End, Call: id, Why: cause})
