--- a/internal/platform/rules.go
+++ b/internal/platform/rules.go
@@ -19,7 +19,6 @@
 	serverMost  = 4  // connections to one server
 	heldShare   = 8  // one part in so many of the memory is for what has come and waits
 	wayShare    = 64 // one part in so many of a viewer's patience is left for the way there and back
-	idleShare   = 4  // and of the servers' idle time, in which a connection is retired
 
 	unreadMost = 4 * boxes.Longest // bytes that wait for a viewer that does not read
 	waitMost   = 1024              // messages that wait for a connection to a server
@@ -82,9 +81,12 @@
 	return begun > 0 && (now-max(v.heard, begun) > hush || now-begun > slowest)
 }
 
-// idle tells that a connection to a server has carried nothing for so long that the server may be closing it: what is
-// written then may or may not run.
-func (l *link) idle(told, now core.Time) bool { return l.up && now-l.used > told-told/idleShare }
+// idle tells that a connection to a server has carried nothing for so long that the server may close it before what is
+// written now is there, which then may or may not run. What takes longer than a connect may is not waited for anyway.
+func (m *Manager) idle(l *link) bool {
+	t := m.given.Told
+	return l.up && m.now-l.used > max(t.Idle-t.Connect-sweep, t.Idle/2)
+}
 
 // dead tells whether a server that refuses connections has ended, and all that stood there with it. A process that ends
 // resets its connections and listens no more; one that has no room for newcomers refuses for a while too, one that drains
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -122,7 +122,7 @@
 func (m *Manager) linkTo(b *box) *link {
 	var best *link
 	for _, l := range b.links {
-		if l.stale || l.idle(m.given.Told.Idle, m.now) {
+		if l.stale || m.idle(l) {
 			continue
 		}
 		if best == nil || len(l.tries) < len(best.tries) {
@@ -257,7 +257,7 @@
 // tell writes what belongs to no connection of its own.
 func (m *Manager) tell(b *box, w *boxes.Message) {
 	for _, l := range b.links {
-		if l.up && !l.idle(m.given.Told.Idle, m.now) {
+		if l.up && !m.idle(l) {
 			m.send(l, w)
 			return
 		}
@@ -458,7 +458,7 @@
 func (m *Manager) lookAfter() {
 	for id, b := range m.boxes {
 		for _, l := range slices.Clone(b.links) {
-			if l.up && len(l.tries) == 0 && len(b.tests) == 0 && l.idle(m.given.Told.Idle, m.now) && (len(b.standing) == 0 || len(b.links) > 1) {
+			if l.up && len(l.tries) == 0 && len(b.tests) == 0 && m.idle(l) && (len(b.standing) == 0 || len(b.links) > 1) {
 				m.closeLink(l)
 			}
 		}
