--- a/internal/platform/bus_test.go
+++ b/internal/platform/bus_test.go
@@ -31,7 +31,7 @@
 	begin := now
 	all := map[core.Time]int{}
 	for i := range managers {
-		text := strings.NewReplacer("MEMORY", "64", "SOCKETS", "256", "PROBES", "false", "EFFECT", "read_like", "IDLE", "15").Replace(configuration)
+		text := strings.NewReplacer("MEMORY", "64", "SOCKETS", "256", "PROBES", "false", "EFFECT", "read_like", "IDLE", "15", "TENANTS", "[]").Replace(configuration)
 		g, err := platform.Read([]byte(text))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -27,7 +27,7 @@
 "domain":{"cabinets":1,"positions":2,"classTop":[1],"lowestRung":[0],"isLive":[true],"rateFactor":[1],"ladderKb":[100,200],"levelWorth":[0.5,1],
 "kindSlots":[20],"join":0.3,"seenAfter":0.5,"toldEvery":3,"kbPerWeight":4000,"linksKb":8000,"uplinkKb":8000},
 "limits":{"maxAttempts":3,"maxRetryAfter":0.5,"retryAfter":true,"probes":PROBES,"connIdle":IDLE,"connectTimeout":0.25,"streamsPerConn":32},
-"loadReport":{"names":["x0"],"source":"piggyback"},"prices":{"crossZone":0.01,"moves":0.1,"probe":0.004},
+"loadReport":{"names":["x0"],"source":"piggyback"},"customers":TENANTS,"overShareWorth":0.1,"prices":{"crossZone":0.01,"moves":0.1,"probe":0.004},
 "rules":{"coldFrom":0.5,"warmUp":5,"fallMultiple":2,"overloadFor":2}}}`
 
 // stage plays one scenario file: `T who event ...` lets time pass to T seconds and tells the manager an event; `> action`
@@ -197,6 +197,9 @@
 		o := options(what[2:])
 		r := rtsp.Request(rtsp.Setup, "rtsp://media/"+or(o["title"], "7f3a9c21e0b4d655"), 1).With("Session", id(what[1]))
 		r.With("Call-Kind", or(o["plan"], "live")).With("Answer-Within", or(o["within"], "4000"))
+		if o["for"] != "" {
+			r.With("Charged-Party", o["for"])
+		}
 		routing := "home:" + or(o["home"], "0") + ";copies:2;top:" + or(o["top"], "1") + ";viewer:00000000b4d65521"
 		if o["at"] != "" {
 			routing += ";at:" + o["at"]
@@ -273,7 +276,7 @@
 }
 
 func (s *stage) play(text string) {
-	set := map[string]string{"MEMORY": "64", "SOCKETS": "256", "PROBES": "false", "EFFECT": "read_like", "IDLE": "15"}
+	set := map[string]string{"MEMORY": "64", "SOCKETS": "256", "PROBES": "false", "EFFECT": "read_like", "IDLE": "15", "TENANTS": "[]"}
 	const begin = 1000 * core.Second
 	for _, line := range strings.Split(text, "\n") {
 		line, _, _ = strings.Cut(line, "#")
--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -250,6 +250,11 @@
 	if q.Plan = slices.Index(told.Plans, c.plan); q.Plan < 0 || !boxes.ID(c.key) || c.desc == "" || !utf8.ValidString(c.desc) {
 		return nil, "", false
 	}
+	if len(told.Tenants) > 0 {
+		if q.Tenant = slices.Index(told.Tenants, r.Get("Charged-Party")); q.Tenant < 0 {
+			return nil, "", false
+		}
+	}
 	q.Show, _ = strconv.ParseUint(c.key, 16, 64)
 	fields := map[string]string{}
 	for _, f := range rtsp.Pairs(strings.ReplaceAll(r.Get("Routing-Data"), ":", "=")) {
--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -15,6 +15,7 @@
 type Told struct {
 	Site     *session.Site
 	Plans    []string // the names, as positions in the lists below
+	Tenants  []string
 	Zones    []string
 	Kinds    []string
 	Load     []string       // the values of a load report
@@ -41,6 +42,9 @@
 		t.Plans = append(t.Plans, c.Name)
 		t.Patience = append(t.Patience, micros(c.GiveUp))
 	}
+	for _, c := range w.Customers {
+		t.Tenants = append(t.Tenants, c.Name)
+	}
 	return t, nil
 }
 
@@ -57,9 +61,12 @@
 		Stream                         bool
 	}
 	Localities, Kinds []string
-	Customers         []struct{ QuotaPerS float64 }
-	Goal              struct{ WorstClass float64 }
-	Domain            struct {
+	Customers         []struct {
+		Name      string
+		QuotaPerS float64
+	}
+	Goal   struct{ WorstClass float64 }
+	Domain struct {
 		Cabinets, Positions               int
 		ChangeCostsS, Join                float64
 		ClassTop, LowestRung, Seats       []int
