--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -17,18 +17,15 @@
 	"pierlink/policy"
 )
 
-// configuration as the platform writes it, for one plan and the servers s-00000001 and s-00000002, which hold all.
-const configuration = `{"name":"n0","listen":"127.0.0.1:1","seed":"8c1f30d27a5be964","limits":{"cores":0.5,"memory_mb":MEMORY,"sockets":SOCKETS},
-"bus":"10.2.0.1:8500","known":{"offset":1,"batch":[{"offset":1,"topology":{"rev":1,"all":true,"targets":[
-{"uid":"s-00000001","endpoint":"10.1.0.1:5060","az":"a","model":"k","pod_group":0,"state":"Ready","capacity_hint":1,"boot_ms":0},
-{"uid":"s-00000002","endpoint":"10.1.0.2:5060","az":"b","model":"k","pod_group":1,"state":"Ready","capacity_hint":1,"boot_ms":0}]}}]},
-"settings":{"balancers":1,"slotNo":0,"locality":0,"localities":["a","b"],"kinds":["k"],"registryMode":"pushed","weightKind":"rough",
-"classes":[{"name":"live","effect":"EFFECT","giveUp":4,"promise":1,"worth":1,"stream":true}],
-"domain":{"cabinets":1,"positions":2,"classTop":[1],"lowestRung":[0],"isLive":[true],"rateFactor":[1],"ladderKb":[100,200],"levelWorth":[0.5,1],
-"kindSlots":[20],"join":0.3,"seenAfter":0.5,"toldEvery":3,"kbPerWeight":4000,"linksKb":8000,"uplinkKb":8000},
-"limits":{"maxAttempts":3,"maxRetryAfter":0.5,"retryAfter":true,"probes":PROBES,"connIdle":IDLE,"connectTimeout":0.25,"streamsPerConn":32},
-"loadReport":{"names":["x0"],"source":"piggyback"},"customers":TENANTS,"overShareWorth":0.1,"prices":{"crossZone":0.01,"moves":0.1,"probe":0.004},
-"rules":{"coldFrom":0.5,"warmUp":5,"fallMultiple":2,"overloadFor":2}}}`
+// configuration as the platform writes it, for one plan and the servers s-00000001 and s-00000002, which hold all; words in
+// capitals are filled in.
+var configuration = func() string {
+	text, err := os.ReadFile("testdata/configuration.json")
+	if err != nil {
+		panic(err)
+	}
+	return string(text)
+}()
 
 // stage plays one scenario file: `T who event ...` lets time pass to T seconds and tells the manager an event; `> action`
 // wants an action of that start since then, `! action` wants none, `= N action` exactly N; `|` parts what stands on one
