--- a/internal/platform/rules.go
+++ b/internal/platform/rules.go
@@ -35,6 +35,7 @@
 	slowest   = owedIn - 2*sweep       // as is one whose message is not whole by then, though more of it keeps coming
 	grace     = core.Second / 20       // what may cross on the way; a newcomer has so long to say something
 	sweep     = core.Second / 4        // between two looks after all that
+	shut      = core.Second            // a server that refuses all connections for so long has ended
 	kept      = 6 * core.Second        // viewers close what carries no session for 4 s; one that does not goes then
 	unheard   = core.Second / 4        // a release that is not answered by then is sent again
 	most      = 4                      // times at most
@@ -90,9 +91,13 @@
 
 // dead tells whether a server that refuses connections has ended, and all that stood there with it. A process that ends
 // resets its connections and listens no more; one that has no room for newcomers refuses for a while too, one that drains
-// for good. Where neither is sure the list or its silence tells.
+// for good. Where none was reset, as none was up, it is waited for longer.
 func (m *Manager) dead(b *box) bool {
-	return b.state == session.Ready && b.brokenAt > 0 && m.now-max(b.refusedAt, b.brokenAt) >= sweep/2
+	wait := shut
+	if b.brokenAt > 0 {
+		wait = sweep / 2
+	}
+	return b.state == session.Ready && m.now-b.refusedAt >= wait
 }
 
 // missed ranks a connection by how much it would be: the lowest goes first, and of equals the one with the least time.
