A dial for which the descriptors do not suffice closes its half of a connection

Seen by reading: to take a connection in, nbio takes a second descriptor for a moment. Where that is refused (EMFILE), edge/loop.go dial gave the error to its core and kept the connection, until Go's collector came by: it held one of the few descriptors left and one of the server's connections. TestDialWithoutDescriptors leaves just one descriptor; without the fix the server's side waits 10 s for the end of the connection. Running out on accept had a test already (life_test.go).

--- a/internal/edge/loop.go
+++ b/internal/edge/loop.go
@@ -350,7 +350,9 @@
 	c, err := from(ctx, s.own.From, addr, l.has.Dials)
 	if err == nil {
 		var nb *nbio.Conn
-		if nb, err = nbio.NBConn(c); err == nil {
+		if nb, err = nbio.NBConn(c); err != nil { // it takes a second descriptor for a moment
+			_ = c.Close()
+		} else {
 			nb.SetSession(s)
 			_, err = l.engine.AddConn(nb)
 		}
--- a/internal/edge/room_test.go
+++ b/internal/edge/room_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strings"
@@ -194,3 +195,63 @@
 	})
 	await(false, "a dial given up goes on")
 }
+
+// A dial for which the descriptors do not suffice fails, and its half of a connection ends with it.
+func TestDialWithoutDescriptors(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	d := &dialing{done: make(chan error, 1)}
+	l, err := edge.New("", func(n core.Net) core.Core { d.net = n; return d })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Stop(true)
+	var old syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &old); err != nil {
+		t.Fatal(err)
+	}
+	few := old
+	few.Cur = 100
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &few); err != nil {
+		t.Fatal(err)
+	}
+	var held []int
+	release := func() {
+		for _, fd := range held {
+			_ = syscall.Close(fd)
+		}
+		held = nil
+		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &old); err != nil {
+			t.Error(err)
+		}
+	}
+	defer func() { release() }()
+	for {
+		fd, err := syscall.Dup(2)
+		if err != nil {
+			break
+		}
+		held = append(held, fd)
+	}
+	_ = syscall.Close(held[len(held)-1]) // there is one: it connects, and cannot be taken in
+	held = held[:len(held)-1]
+	l.Do(func() { d.net.Dial(&core.Conn{}, ln.Addr().String()) })
+	if err := <-d.done; !errors.Is(err, syscall.EMFILE) {
+		t.Fatal("it came out as", err)
+	}
+	release()
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Error("the connection goes on:", err)
+	}
+}
