At a reload the former event bus tells on until the new one speaks

Seen by reading: Renew closed the connection that was up before the new one was, so what the list told in between, or for as long as the new address does not answer, came late. The former connection is kept now, with its place in the midst of a frame, until the new one has sent something or it ends, tells nonsense or is silent itself. What both tell counts once, by its number.

--- a/internal/platform/bus.go
+++ b/internal/platform/bus.go
@@ -16,6 +16,15 @@
 	heard   core.Time
 	again   core.Time // when to connect next
 	wait    core.Time
+	former  former
+}
+
+// former is the connection to the address that the configuration named before: what it tells counts until the new one
+// speaks.
+type former struct {
+	reader feed.Reader
+	conn   *core.Conn
+	heard  core.Time
 }
 
 func (b *bus) at(g *Given) {
@@ -41,20 +50,40 @@
 
 func (m *Manager) busSays(c *core.Conn, p []byte) {
 	b := &m.bus
-	if c != b.conn {
-		return
-	}
-	b.heard, b.wait = m.now, busWait
-	if err := b.reader.Feed(p, m.listed); err != nil {
-		m.trace("bus: %v", err)
-		m.breakBus()
+	switch {
+	case c == b.conn:
+		b.heard, b.wait = m.now, busWait
+		if err := b.reader.Feed(p, m.listed); err != nil {
+			m.trace("bus: %v", err)
+			m.breakBus()
+			return
+		}
+		m.leaveBus()
+	case c == b.former.conn:
+		b.former.heard, b.former.reader.Last = m.now, b.reader.Last
+		err := b.former.reader.Feed(p, m.listed)
+		b.reader.Last = b.former.reader.Last
+		if err != nil {
+			m.leaveBus()
+		}
 	}
 }
 
 func (m *Manager) busGone(c *core.Conn) {
-	if c == m.bus.conn {
+	switch c {
+	case m.bus.conn:
 		m.breakBus()
+	case m.bus.former.conn:
+		m.leaveBus()
+	}
+}
+
+// leaveBus gives up the connection to the former address.
+func (m *Manager) leaveBus() {
+	if c := m.bus.former.conn; c != nil {
+		m.net.Close(c)
 	}
+	m.bus.former = former{}
 }
 
 // breakBus gives the connection up; the next one is made at once, and where that fails after a growing wait.
@@ -77,9 +106,13 @@
 	case b.conn != nil && !b.up && m.now-b.heard > m.given.Told.Connect, b.conn != nil && m.now-b.heard > busBeat:
 		m.breakBus()
 	}
+	if b.former.conn != nil && m.now-b.former.heard > busBeat {
+		m.leaveBus()
+	}
 }
 
-// Renew takes a new configuration: from here on the bus is where that says.
+// Renew takes a new configuration: the bus is where that says. The connection that is up goes on until the new one
+// speaks, so that nothing is missed meanwhile.
 func (m *Manager) Renew(g *Given) error {
 	if g.Bus == "" {
 		return errors.New("bus: an address is expected")
@@ -87,9 +120,13 @@
 	if g.Bus == m.bus.address {
 		return nil
 	}
-	m.bus.address, m.bus.wait = g.Bus, busWait
-	if m.bus.conn != nil {
-		m.net.Close(m.bus.conn)
+	b := &m.bus
+	b.address, b.wait = g.Bus, busWait
+	switch {
+	case b.up && b.former.conn == nil:
+		b.former = former{b.reader, b.conn, b.heard}
+	case b.conn != nil:
+		m.net.Close(b.conn)
 	}
 	m.connectBus()
 	return nil
