All kinds of connections together stay within the descriptors, also at the least of them

Seen by reading, and by a process that gets 64 descriptors from the system: 80 clients that say nothing and sessions at 20 servers had it hold all there are (65 by a reading of /proc/PID/fd that takes a moment): an accept or a dial, the event bus among them, then fails. At fault: cmd/pierlink/platform.go, 16 connections from viewers beyond the core's bound whatever the limit is, and rules.go, Viewers, which left nothing for the process itself. From 107 descriptors on nothing changes but what comes in excess, a sixteenth of the limit and 16 at most.

--- a/cmd/pierlink/platform.go
+++ b/cmd/pierlink/platform.go
@@ -18,10 +18,9 @@
 )
 
 const (
-	pieceRead  = 4 << 10 // of a message of 16 KiB at most
-	mailShare  = 8       // one part in so many of the memory is for what has come and is not looked at
-	heapShare  = 0.6     // of the memory is Go's to fill before it collects harder
-	acceptRoom = 16      // connections beyond the core's own bound, while it makes room
+	pieceRead = 4 << 10 // of a message of 16 KiB at most
+	mailShare = 8       // one part in so many of the memory is for what has come and is not looked at
+	heapShare = 0.6     // of the memory is Go's to fill before it collects harder
 )
 
 // given reads what the platform tells at the start.
@@ -69,7 +68,7 @@
 	var m *platform.Manager
 	var loop *edge.Loop
 	room := edge.Room{Read: pieceRead, Mail: int(g.Memory / mailShare), Dials: time.Duration(g.Told.Connect)*time.Microsecond + time.Second,
-		Doors: platform.Viewers(g) + acceptRoom}
+		Doors: platform.Viewers(g) + platform.Coming(g)}
 	loop, err = edge.NewIn(room, "", func(n core.Net) core.Core {
 		m = platform.New(n, g, edge.Now(), policy.New)
 		m.Exit = func() { close(exit) }
--- a/cmd/pierlink/platform_test.go
+++ b/cmd/pierlink/platform_test.go
@@ -10,8 +10,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -57,6 +59,7 @@
 	log    *log
 	config string
 	listen string
+	within int // descriptors
 }
 
 func free(t *testing.T) net.Listener {
@@ -95,7 +98,7 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	full := strings.NewReplacer("MEMORY", "64", "SOCKETS", "256", "PROBES", "false", "EFFECT", "read_like", "IDLE", "15", "TENANTS", "[]",
+	full := strings.NewReplacer("MEMORY", "64", "SOCKETS", strconv.Itoa(m.within), "PROBES", "false", "EFFECT", "read_like", "IDLE", "15", "TENANTS", "[]",
 		"127.0.0.1:1", m.listen, "10.2.0.1:8500", bus, "10.1.0.", "127.0.0.", `"giveUp":4`, `"giveUp":0.3`).Replace(string(text))
 	if err := os.WriteFile(m.config, []byte(full), 0o600); err != nil {
 		m.t.Fatal(err)
@@ -103,12 +106,18 @@
 }
 
 func start(t *testing.T, bus string) *manager {
+	t.Helper()
+	return startWithin(t, bus, 256)
+}
+
+// startWithin starts one that gets so many descriptors from the system, and is told so.
+func startWithin(t *testing.T, bus string, descriptors int) *manager {
 	t.Helper()
 	ln := free(t)
-	m := &manager{t: t, log: &log{}, config: filepath.Join(t.TempDir(), "config.json"), listen: ln.Addr().String()}
+	m := &manager{t: t, log: &log{}, config: filepath.Join(t.TempDir(), "config.json"), listen: ln.Addr().String(), within: descriptors}
 	_ = ln.Close()
 	m.write(bus)
-	m.cmd = exec.Command(os.Args[0])
+	m.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, descriptors), os.Args[0])
 	m.cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+m.config, "GW_NAME=n0", "GW_LISTEN="+m.listen)
 	m.cmd.Stdout, m.cmd.Stderr = m.log, m.log
 	if err := m.cmd.Start(); err != nil {
@@ -226,7 +235,7 @@
 
 // What makes no sense is told in one line, and it does not start.
 func TestBrokenStart(t *testing.T) {
-	m := &manager{t: t, log: &log{}, config: filepath.Join(t.TempDir(), "config.json"), listen: "127.0.0.1:1"}
+	m := &manager{t: t, log: &log{}, config: filepath.Join(t.TempDir(), "config.json"), listen: "127.0.0.1:1", within: 256}
 	m.write("nowhere")
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), asProgram+"=1", "GW_CONFIG="+m.config, "GW_LISTEN=127.0.0.1:1")
@@ -236,3 +245,109 @@
 		t.Errorf("%v: %s", err, m.log.all.String())
 	}
 }
+
+// While clients that say nothing take all connections that they can get and sessions stand at more servers than may be
+// kept connected, the descriptors suffice, and the bus is found again when it breaks off.
+func TestTheBusIsFoundWhileAllElseIsFull(t *testing.T) {
+	const (
+		within  = 64 // the least
+		servers = 20 // more than a quarter of them
+		others  = 80 // and more idle clients than all
+	)
+	bus, boxes := free(t), free(t)
+	m := startWithin(t, bus.Addr().String(), within)
+	if status := m.ready(); status != "200" {
+		t.Fatal(status)
+	}
+	accepted := func() net.Conn {
+		t.Helper()
+		_ = bus.(*net.TCPListener).SetDeadline(time.Now().Add(awaited))
+		c, err := bus.Accept()
+		if err != nil {
+			t.Fatal("the bus is not found:", err)
+		}
+		_ = c.SetDeadline(time.Now().Add(awaited))
+		var hello [8]byte
+		if _, err := io.ReadFull(c, hello[:]); err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	c := accepted()
+	event := binary.BigEndian.AppendUint32(nil, 9+27*servers)
+	event = append(binary.BigEndian.AppendUint64(event, 2), 2)
+	for i := range servers {
+		event = append(binary.BigEndian.AppendUint32(event, uint32(100+i)), 127, 0, 0, 1)
+		event = binary.BigEndian.AppendUint16(event, uint16(boxes.Addr().(*net.TCPAddr).Port))
+		event = append(event, 0, 0, 0, 0, 0, 0, 0, 3, 0xe8)
+		event = binary.BigEndian.AppendUint64(event, 0)
+	}
+	if _, err := c.Write(event); err != nil {
+		t.Fatal(err)
+	}
+	var up, tried atomic.Int64
+	go func() {
+		for {
+			c, err := boxes.Accept()
+			if err != nil {
+				return
+			}
+			up.Add(1)
+			go func() { _, _ = io.Copy(io.Discard, c); up.Add(-1) }()
+		}
+	}()
+	await := func(what string, is func() bool) {
+		t.Helper()
+		for end := time.Now().Add(awaited); !is(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal(what)
+			}
+		}
+	}
+	viewer, err := net.Dial("tcp", m.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer viewer.Close()
+	for i := range servers {
+		fmt.Fprintf(viewer, "SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nSession: %016x\r\nCall-Kind: live\r\n"+
+			"Routing-Data: home:0;copies:2;top:1;viewer:00000000b4d65521;at:s-%08x\r\nContent-Length: 3\r\n\r\nsdp", i+1, 100+i)
+	}
+	await("no connections to servers", func() bool { return up.Load() >= within/4 })
+	over := make(chan struct{})
+	var idle sync.WaitGroup
+	defer idle.Wait()
+	defer close(over)
+	for range others {
+		idle.Go(func() {
+			for {
+				select {
+				case <-over:
+					return
+				default:
+				}
+				tried.Add(1)
+				if c, err := net.Dial("tcp", m.listen); err == nil {
+					_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+					_, _ = c.Read(make([]byte, 1))
+					_ = c.Close()
+				}
+			}
+		})
+	}
+	most := 0
+	await("few idle clients were sent away", func() bool {
+		held, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", m.cmd.Process.Pid))
+		if err != nil {
+			t.Fatal(err)
+		}
+		most = max(most, len(held))
+		return tried.Load() > 5*others
+	})
+	t.Log(most, "descriptors at most")
+	if most >= within {
+		t.Errorf("%d of %d descriptors were held", most, within)
+	}
+	_ = c.Close()
+	_ = accepted().Close()
+}
--- a/internal/platform/rules.go
+++ b/internal/platform/rules.go
@@ -11,14 +11,17 @@
 
 const leastSockets = 64
 
-// The shares of the told limits. What is left of the descriptors is the reserve: the bus, the listener, the log, and
-// connections that come and go.
+// The shares of the told limits. What is left of the descriptors is the reserve for connections that come and go.
 const (
-	viewerShare = 2  // one part in so many of the descriptors is for viewers
+	viewerShare = 2  // one part in so many of the descriptors is for viewers at most
 	serverShare = 4  // and for servers
-	serverMost  = 4  // connections to one server
-	heldShare   = 8  // one part in so many of the memory is for what has come and waits
-	wayShare    = 64 // one part in so many of a viewer's patience is left for the way there and back
+	comingShare = 16 // and for viewers that have just come, while room is made for them
+	comingMost  = 16 // of these
+	own         = 20 // descriptors of the process itself: its standard streams, pollers, the listener with its reserve, the
+	// bus at two addresses while it moves, and for a moment a second one of what is accepted or dialled
+	serverMost = 4  // connections to one server
+	heldShare  = 8  // one part in so many of the memory is for what has come and waits
+	wayShare   = 64 // one part in so many of a viewer's patience is left for the way there and back
 
 	unreadMost = 4 * boxes.Longest // bytes that wait for a viewer that does not read
 	waitMost   = 1024              // messages that wait for a connection to a server
@@ -62,8 +65,13 @@
 	return t.Tell > 0 && t.Tell+t.Site.Fleet.NoteDelay < forgiven-2*core.Second
 }
 
-// Viewers is how many connections from viewers are held at most.
-func Viewers(g *Given) int { return g.Sockets / viewerShare }
+// Coming is how many connections from viewers are accepted beyond those held, while the core makes room.
+func Coming(g *Given) int { return min(g.Sockets/comingShare, comingMost) }
+
+// Viewers is how many connections from viewers are held at most: all kinds together stay within the limit.
+func Viewers(g *Given) int {
+	return min(g.Sockets/viewerShare, g.Sockets-g.Sockets/serverShare-Coming(g)-own)
+}
 
 // perServer is how many connections a server may have while so many are ready.
 func perServer(g *Given, ready int) int {
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -222,7 +222,7 @@
 		box("info", id(what[1]), `"with":{"note":"`+what[2]+`","value":"`+what[3]+`"}`)
 	case what[0] == "tested":
 		box("tested", s.test, `"with":{"load":"x0:0.2"},"why":1`)
-	case what[0] == "event": // NUMBER whole|part id=state@address ...
+	case what[0] == "event": // NUMBER whole|part id=state@started^host ...
 		n, _ := strconv.ParseUint(what[1], 10, 64)
 		b := binary.BigEndian.AppendUint32(nil, uint32(9+27*len(what[3:])))
 		kind := byte(2)
@@ -233,9 +233,14 @@
 		for _, w := range what[3:] {
 			name, state, _ := strings.Cut(w, "=")
 			k, _ := strconv.Atoi(name)
+			state, host, moved := strings.Cut(state, "^")
+			at, _ := strconv.Atoi(host)
+			if !moved {
+				at = k
+			}
 			state, started, _ := strings.Cut(state, "@")
 			ms, _ := strconv.ParseUint(started, 10, 64)
-			b = append(binary.BigEndian.AppendUint32(b, uint32(k)), 10, 1, 0, byte(k), 0x13, 0xc4,
+			b = append(binary.BigEndian.AppendUint32(b, uint32(k)), 10, 1, 0, byte(at), 0x13, 0xc4,
 				map[string]byte{"ready": 0, "drains": 1, "gone": 2}[state], byte(k-1)%2, 0, 0, byte(k-1)%2, 0, 0, 3, 0xe8)
 			b = binary.BigEndian.AppendUint64(b, ms)
 		}
@@ -327,6 +332,17 @@
 	}
 }
 
+func newStage(t *testing.T) *stage {
+	return &stage{t: t, conns: map[string]*core.Conn{}, names: map[*core.Conn]string{}, readers: map[string]*rtsp.Parser{},
+		lines: map[string]*boxes.Reader{}, stuck: map[string]int{}}
+}
+
+// What waits for a connection to a server is bounded: beyond it nothing more is kept.
+func TestWhatIsOwedToAServer(t *testing.T) {
+	s := newStage(t)
+	s.play("1 v open" + strings.Repeat(" | 1 v SETUP a at=s-00000001 | 1 v TEARDOWN a 16", 1025) + " | 1.1 d1 up | = 1024 d1 end a 16")
+}
+
 func TestScenarios(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(files) == 0 {
@@ -339,9 +355,7 @@
 				t.Fatal(err)
 			}
 			for part := range strings.SplitSeq(string(text), "\n---\n") { // each with a manager of its own
-				s := &stage{t: t, conns: map[string]*core.Conn{}, names: map[*core.Conn]string{}, readers: map[string]*rtsp.Parser{},
-					lines: map[string]*boxes.Reader{}, stuck: map[string]int{}}
-				s.play(part)
+				newStage(t).play(part)
 			}
 		})
 	}
