A set-up in two pieces is tested at every split, for good clients and bad ones

Each split of a set-up: served with a second between the pieces, closed within 3 s where no more comes, also on a connection that has said something before.

--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -343,6 +343,21 @@
 	s.play("1 v open" + strings.Repeat(" | 1 v SETUP a at=s-00000001 | 1 v TEARDOWN a 16", 1025) + " | 1.1 d1 up | = 1024 d1 end a 16")
 }
 
+// A set-up that comes in two pieces, wherever it is split, is served though a second lies between them; one of which no
+// more comes is closed within 3 s, and nothing of it reaches a server.
+func TestSetUpsInPieces(t *testing.T) {
+	whole := rtsp.Request(rtsp.Setup, "rtsp://media/7f3a9c21e0b4d655", 1).With("Session", id("a")).With("Call-Kind", "live").
+		With("Answer-Within", "4000").With("Routing-Data", "home:0;copies:2;top:1;viewer:00000000b4d65521")
+	whole.Body = []byte("sdp")
+	text := string(whole.Append(nil))
+	for n := 1; n < len(text); n++ {
+		first, rest := strconv.Quote(text[:n]), strconv.Quote(text[n:])
+		newStage(t).play("1 v open | 1 v raw " + first + " | ! d | 2 v raw " + rest + " | > d1 dial | 2 d1 up | > d1 offer a | 2 d1 accept a x | > v 200 a")
+		newStage(t).play("1 v open | 1 v raw " + first + " | ! v | ! d | 4 wait | > v closed | ! d1 offer")
+		newStage(t).play("1 v open | 1 v OPTIONS | > v 200 | 1.2 v raw " + first + " | ! v | 4.2 wait | > v closed | ! d1 offer")
+	}
+}
+
 func TestScenarios(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(files) == 0 {
