A connection to a server that is left is read until the server ends it

At fault: servers.go, every closing of ours where something stands (lookAfter for a quiet server with one connection to spare, withdraw after a try that was not answered, idle ones): what the server was just writing was lost.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -40,6 +40,12 @@
 	Close(c *Conn)             // once what was sent is out; no further events come
 }
 
+// HalfCloser is a Net that can end one way of a connection: nothing more is sent, and what the peer still sends goes on
+// coming until it ends the other way, or Close.
+type HalfCloser interface {
+	CloseWrite(c *Conn)
+}
+
 // Core is a program without its sockets. One goroutine owns it. A turn is At, the events in the order of
 // their coming, then Settle, which tells when it wants the next turn at the latest.
 type Core interface {
--- a/internal/edge/loop.go
+++ b/internal/edge/loop.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -325,7 +326,7 @@
 }
 
 func why(err error) error {
-	if err == nil {
+	if err == nil || errors.Is(err, io.EOF) {
 		return core.ErrEnded
 	}
 	return err
@@ -404,6 +405,41 @@
 	return int(n)
 }
 
+// CloseWrite ends our way of a connection that has nothing left to write (shutdown(2)). The poller may close its
+// descriptor at any moment: what is shut is a duplicate, once that is seen to be the same connection.
+func (l *Loop) CloseWrite(c *core.Conn) {
+	s, ok := c.Socket.(*socket)
+	if !ok || s.gone || s.nb == nil || l.Pending(c) > 0 {
+		return
+	}
+	nb, ok := s.nb.(*nbio.Conn)
+	if !ok {
+		return
+	}
+	fd, err := syscall.Dup(nb.Hash())
+	if err != nil {
+		return
+	}
+	if name, err := syscall.Getsockname(fd); err == nil && is(name, nb.LocalAddr()) {
+		if name, err := syscall.Getpeername(fd); err == nil && is(name, nb.RemoteAddr()) {
+			_ = syscall.Shutdown(fd, syscall.SHUT_WR)
+		}
+	}
+	_ = syscall.Close(fd)
+}
+
+// is tells whether a socket's address is the one that a connection had when it came up.
+func is(name syscall.Sockaddr, addr net.Addr) bool {
+	a, ok := addr.(*net.TCPAddr)
+	switch n := name.(type) {
+	case *syscall.SockaddrInet4:
+		return ok && n.Port == a.Port && a.IP.Equal(n.Addr[:])
+	case *syscall.SockaddrInet6:
+		return ok && n.Port == a.Port && a.IP.Equal(n.Addr[:])
+	}
+	return false
+}
+
 // Close ends a connection once what was sent is written.
 func (l *Loop) Close(c *core.Conn) {
 	s, ok := c.Socket.(*socket)
--- a/internal/edge/room_test.go
+++ b/internal/edge/room_test.go
@@ -255,3 +255,60 @@
 		t.Error("the connection goes on:", err)
 	}
 }
+
+// halving is a core that ends its way of each connection that comes up, and tells what still comes and how it ends.
+type halving struct {
+	core.Core
+	net  core.Net
+	came chan string
+}
+
+func (h *halving) At(core.Time) {}
+func (h *halving) Dialed(c *core.Conn, err error) {
+	if err != nil {
+		h.came <- err.Error()
+		return
+	}
+	h.net.(core.HalfCloser).CloseWrite(c)
+}
+func (h *halving) Received(_ *core.Conn, b []byte) { h.came <- string(b) }
+func (h *halving) Closed(_ *core.Conn, err error)  { h.came <- err.Error() }
+func (h *halving) Settle() core.Time               { return core.Never }
+
+// A connection of which one way is ended brings what the peer still sends, and ends when the peer ends it.
+func TestCloseWrite(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	h := &halving{came: make(chan string, 10)}
+	l, err := edge.New("", func(n core.Net) core.Core { h.net = n; return h })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Stop(true)
+	l.Do(func() { h.net.Dial(&core.Conn{}, ln.Addr().String()) })
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatal("the peer is not told:", err)
+	}
+	if _, err := c.Write([]byte("late")); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Close()
+	for _, want := range []string{"late", core.ErrEnded.Error()} {
+		select {
+		case got := <-h.came:
+			if got != want {
+				t.Errorf("%q came, not %q", got, want)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%q did not come", want)
+		}
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -36,6 +36,7 @@
 
 	given  *Given
 	net    core.Net
+	half   core.HalfCloser // nil where the network cannot
 	module session.Manager
 	now    core.Time
 	came   core.Time // when the event at hand did
@@ -97,6 +98,7 @@
 func New(n core.Net, g *Given, now core.Time, make_ func(*session.Site, uint64, core.Time) session.Manager) *Manager {
 	m := &Manager{given: g, net: n, now: now, wake: map[uint64]*core.Timer{}, calls: map[string]*call{}, titles: map[uint64]*title{},
 		boxes: map[uint32]*box{}}
+	m.half, _ = n.(core.HalfCloser)
 	g.Told.Site.StartsTold = true
 	m.module = make_(g.Told.Site, g.Seed, now)
 	m.module.At(now)
--- a/internal/platform/rules.go
+++ b/internal/platform/rules.go
@@ -38,6 +38,7 @@
 	slowest   = owedIn - 2*sweep       // as is one whose message is not whole by then, though more of it keeps coming
 	grace     = core.Second / 20       // what may cross on the way; a newcomer has so long to say something
 	sweep     = core.Second / 4        // between two looks after all that
+	linger    = core.Second            // what a server sent before it knew that a connection is left has come by then
 	shut      = core.Second            // a server that refuses all connections for so long has ended
 	kept      = 6 * core.Second        // viewers close what carries no session for 4 s; one that does not goes then
 	unheard   = core.Second / 4        // a release that is not answered by then is sent again
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -126,6 +126,7 @@
 
 func (s *stage) Pending(c *core.Conn) int { return s.stuck[s.names[c]] }
 func (s *stage) Close(c *core.Conn)       { s.act("%s closed", s.names[c]) }
+func (s *stage) CloseWrite(c *core.Conn)  { s.act("%s left", s.names[c]) }
 
 func id(name string) string { return strings.Repeat(name, 16) }
 
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -48,6 +48,7 @@
 	reader  boxes.Reader
 	up      bool
 	closing bool
+	leaving bool    // we send nothing more, and read on until the server ends it
 	stale   bool    // something on it went unanswered: it takes nothing new
 	tries   []*call // whose set-up is on it, or waits for it
 	timer   *core.Timer
@@ -171,6 +172,21 @@
 	return pick != nil
 }
 
+// leaveLink closes a connection without losing what the server is just saying of what stands there: it sends that once.
+func (m *Manager) leaveLink(l *link) {
+	if l.closing || l.leaving {
+		return
+	}
+	if !l.up || len(l.box.standing) == 0 || m.half == nil {
+		m.closeLink(l)
+		return
+	}
+	l.leaving = true
+	l.box.links = slices.DeleteFunc(l.box.links, func(x *link) bool { return x == l })
+	m.half.CloseWrite(l.conn)
+	l.timer = m.timers.Set(l.timer, m.now+linger, func() { m.closeLink(l) })
+}
+
 func (m *Manager) closeLink(l *link) {
 	if l.closing {
 		return
@@ -244,7 +260,7 @@
 	}
 	c.sent = false
 	if l.stale && len(l.tries) == 0 {
-		m.closeLink(l)
+		m.leaveLink(l)
 	}
 }
 
@@ -333,6 +349,10 @@
 	if l.closing {
 		return
 	}
+	if l.leaving {
+		m.closeLink(l)
+		return
+	}
 	b := l.box
 	m.trace("connection to %s gone: %v", b.name, err)
 	m.closeLink(l)
@@ -459,7 +479,7 @@
 	for id, b := range m.boxes {
 		for _, l := range slices.Clone(b.links) {
 			if l.up && len(l.tries) == 0 && len(b.tests) == 0 && m.idle(l) && (len(b.standing) == 0 || len(b.links) > 1) {
-				m.closeLink(l)
+				m.leaveLink(l)
 			}
 		}
 		b.owed = slices.DeleteFunc(b.owed, func(o owing) bool { return m.now > o.by })
@@ -476,7 +496,7 @@
 			if n := len(b.links); n >= m.perBox {
 				for _, l := range b.links {
 					if len(l.tries) == 0 && l.up {
-						m.closeLink(l)
+						m.leaveLink(l)
 						break
 					}
 				}
