--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net"
-	"strings"
 	"syscall"
 	"time"
 )
@@ -14,7 +13,7 @@
 	w.startManagers()
 	f := w.fronts[0]
 	stop := make(chan struct{})
-	go f.traffic(2, 4, stop)
+	go f.traffic(3, 4, stop)
 	go w.fronts[1].traffic(1.5, 4, stop)
 	time.Sleep(10 * time.Second)
 	if w.trouble {
@@ -114,12 +113,12 @@
 	return ruleHeld
 }
 
-// standStill: session managers stand still now and then, while the list tells of drains.
+// standStill: two of three session managers stand still now and then, while the list tells of drains.
 func standStill(root, dir string) int {
 	const grace = 550 * time.Millisecond // drainGrace and the sockets' 50 ms
+	const still = 2                      // session managers
 	w := newWorld(root, dir, lima(), 10, 3)
 	w.startManagers()
-	m, f := w.managers[0], w.fronts[0]
 	stop := make(chan struct{})
 	for _, front := range w.fronts {
 		go front.traffic(6, 8, stop)
@@ -132,36 +131,46 @@
 	}
 	var drains []drain
 	for round := range 11 { // standing still for 1.9 to 2 s, every 3 to 3.35 s, for 37 s at most
-		still := 1900*time.Millisecond + rand.N(100*time.Millisecond)
+		length := 1900*time.Millisecond + rand.N(100*time.Millisecond)
 		every := 3000*time.Millisecond + rand.N(350*time.Millisecond)
-		before := rand.N(still - 700*time.Millisecond)
-		if w.trouble {
-			m.signal(w, syscall.SIGSTOP)
+		before := rand.N(length - 700*time.Millisecond)
+		cells := []int{2 * round % 10, 2*round%10 + 1} // two of ten drain
+		for i := range still {
+			if w.trouble {
+				w.managers[i].signal(w, syscall.SIGSTOP)
+			}
 		}
 		time.Sleep(before)
-		told := time.Now()
-		for _, cell := range []int{2 * round % 10, 2*round%10 + 1} { // two of ten
-			old := w.servers[0][cell]
-			leaving := old.entry
-			leaving.state = draining
-			w.rec.log("the bus of n0 tells: %s drains", old.name())
-			w.buses[0].tell(busEvent{entries: []entry{leaving}})
-			drains = append(drains, drain{old, told})
+		for i := range w.managers {
+			told := time.Now()
+			for _, cell := range cells {
+				old := w.servers[i][cell]
+				leaving := old.entry
+				leaving.state = draining
+				w.rec.log("the bus of n%d tells: %s drains", i, old.name())
+				w.buses[i].tell(busEvent{entries: []entry{leaving}})
+				drains = append(drains, drain{old, told})
+			}
 		}
-		time.Sleep(still - before)
-		if w.trouble {
-			m.signal(w, syscall.SIGCONT)
+		time.Sleep(length - before)
+		for i := range still {
+			if w.trouble {
+				w.managers[i].signal(w, syscall.SIGCONT)
+			}
 		}
 		time.Sleep(500 * time.Millisecond)
-		for _, cell := range []int{2 * round % 10, 2*round%10 + 1} {
-			old := w.servers[0][cell].entry
-			fresh := w.newServer(entry{id: nextID, zone: old.zone, kind: old.kind, cell: cell, weight: old.weight, startedMillis: time.Now().UnixMilli()}, 0)
+		started := time.Now().UnixMilli()
+		for _, cell := range cells {
+			for i := range w.managers {
+				old := w.servers[i][cell].entry
+				fresh := w.newServer(entry{id: nextID, zone: old.zone, kind: old.kind, cell: cell, weight: old.weight, startedMillis: started}, i)
+				w.servers[i][cell] = fresh
+				w.rec.log("the bus of n%d tells: %s is there", i, fresh.name())
+				w.buses[i].tell(busEvent{entries: []entry{fresh.entry}})
+			}
 			nextID++
-			w.servers[0][cell] = fresh
-			w.rec.log("the bus of n0 tells: %s is there", fresh.name())
-			w.buses[0].tell(busEvent{entries: []entry{fresh.entry}})
 		}
-		time.Sleep(max(every-still-500*time.Millisecond, 0))
+		time.Sleep(max(every-length-500*time.Millisecond, 0))
 	}
 	close(stop)
 	time.Sleep(4 * time.Second)
@@ -171,12 +180,15 @@
 		for _, offer := range d.server.offers {
 			if late := offer.at.Sub(d.told); late > grace {
 				broken++
-				w.rec.say("set-up %s came to %s %.3f s after the bus told that it drains", offer.id, d.server.name(), late.Seconds())
+				w.rec.say("n%d: set-up %s came to %s %.3f s after the bus told that it drains", d.server.manager, offer.id, d.server.name(), late.Seconds())
 			}
 		}
 		d.server.mu.Unlock()
 	}
-	w.rec.say("%d drains, set-ups later than the grace: %d; answers by status: %s", len(drains), broken, strings.TrimSpace(f.summary()))
+	for i, front := range w.fronts {
+		w.rec.say("n%d: answers by status: %s", i, front.summary())
+	}
+	w.rec.say("drains told to session managers: %d, set-ups later than the grace: %d", len(drains), broken)
 	if broken > 0 {
 		return ruleBroken
 	}
@@ -193,7 +205,7 @@
 	w.startManagers()
 	f := w.fronts[0]
 	stop := make(chan struct{})
-	go f.traffic(2, 4, stop)
+	go f.traffic(3, 4, stop)
 	time.Sleep(42 * time.Second)
 	if w.trouble {
 		w.rec.log("the process of two video servers stands still")
--- a/review/stand/manager.go
+++ b/review/stand/manager.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -18,14 +19,17 @@
 	exited               chan struct{}
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
+// freeAddr returns a loopback address that was free a moment ago, below the ports that connections get.
 func freeAddr() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		cannotRun("%v", err)
+	for range 100 {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(20000)))
+		if err == nil {
+			defer ln.Close()
+			return ln.Addr().String()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	cannotRun("no free port")
+	return ""
 }
 
 // runLine reads `run` from the deploy file.
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -87,7 +87,7 @@
 			if err != nil {
 				return
 			}
-			go s.serve(conn)
+			go s.serve(s.opened(conn))
 		}
 	}()
 	go s.tellLoad()
@@ -111,16 +111,23 @@
 	_, _ = c.conn.Write(append(text, '\n'))
 }
 
-func (s *videoServer) serve(conn net.Conn) {
+// opened takes a connection in, in the order of accepting.
+func (s *videoServer) opened(conn net.Conn) *serverConn {
 	c := &serverConn{conn: conn, peer: conn.RemoteAddr().String(), open: true}
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runTimers()
 	s.log("connection %s opened", c.peer)
 	s.conns = append(s.conns, c)
 	for _, release := range s.unheard { // "it sends its release also on the next one that is opened"
 		s.send(c, release)
 	}
 	s.unheard = nil
-	s.mu.Unlock()
+	return c
+}
+
+func (s *videoServer) serve(c *serverConn) {
+	conn := c.conn
 	reader := bufio.NewReaderSize(conn, 16<<10)
 	for {
 		text, err := reader.ReadSlice('\n')
@@ -132,10 +139,12 @@
 			break
 		}
 		s.mu.Lock()
+		s.runTimers()
 		s.handle(c, &l)
 		s.mu.Unlock()
 	}
 	s.mu.Lock()
+	s.runTimers()
 	c.open = false
 	s.log("connection %s closed", c.peer)
 	for i, other := range s.conns {
@@ -206,10 +215,24 @@
 	s.note(session)
 }
 
+// runTimers ends the sessions whose time is over. As in most event loops, timers that are due run before what waits on
+// sockets.
+func (s *videoServer) runTimers() {
+	for _, session := range s.sessions {
+		if session.standing && time.Since(session.acceptAt) >= session.endsAfter {
+			s.end(session)
+		}
+	}
+}
+
 // release ends a session that stands: it has come to its end.
 func (s *videoServer) release(session *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.end(session)
+}
+
+func (s *videoServer) end(session *session) {
 	if s.sessions[session.id] != session {
 		return
 	}
