--- a/review/stand/manager.go
+++ b/review/stand/manager.go
@@ -59,6 +59,9 @@
 		settings[key] = value
 	}
 	settings["slotNo"], settings["locality"], settings["balancers"] = i, i%len(w.site.zones), w.managerCount
+	if w.site.localities != nil {
+		settings["locality"] = w.site.localities[i]
+	}
 	config := map[string]any{"name": m.name, "listen": m.listen, "seed": fmt.Sprintf("%016x", 0x8c1f30d27a5be964+uint64(i)),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 384}, "bus": w.buses[i].addr(), "known": w.buses[i].known(), "settings": settings}
 	text, err := json.Marshal(config)
