Log an error while a turn of the event loop does not end

Change: Loop.DoWithin waits for a limit; after 2 s the log says that a turn has not ended. Measured: TestDoWithinEndsWhileTurnRuns; nothing else changes for a loop whose turns end.

--- a/cmd/pierlink/platform.go
+++ b/cmd/pierlink/platform.go
@@ -18,9 +18,10 @@
 )
 
 const (
-	readBufferSize     = 4 << 10 // bytes; a message has at most 16 KiB
-	inboxMemoryDivisor = 8       // 1/8 of the memory is for received data that has not been processed
-	heapMemoryShare    = 0.6     // share of the memory set as the Go runtime's soft limit, above which it collects more often
+	readBufferSize     = 4 << 10         // bytes; a message has at most 16 KiB
+	inboxMemoryDivisor = 8               // 1/8 of the memory is for received data that has not been processed
+	turnWarning        = 2 * time.Second // a turn of the event loop that takes longer is reported
+	heapMemoryShare    = 0.6             // share of the memory set as the Go runtime's soft limit, above which it collects more often
 )
 
 // platformConfig reads the platform's configuration file and environment variables.
@@ -46,6 +47,18 @@
 	return config, nil
 }
 
+// logStats logs the counters of the session manager and the memory in use, or that a turn of its loop does not end.
+func logStats(log *zap.Logger, loop *edge.Loop, manager *platform.Manager) {
+	stats := make(chan platform.Stats, 1)
+	if !loop.DoWithin(turnWarning, func() { stats <- manager.Stats() }) {
+		log.Error("event loop is busy: a turn has not ended", zap.Duration("waited", turnWarning))
+		return
+	}
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	log.Info("stands", zap.Any("figures", <-stats), zap.Uint64("heap", mem.HeapAlloc), zap.Uint64("from_system", mem.Sys))
+}
+
 // servePlatform runs one session manager under the hosting platform.
 func servePlatform(traced bool) error {
 	signals := make(chan os.Signal, 8)
@@ -94,11 +107,7 @@
 			loop.Stop(false)
 			return nil
 		case <-tick.C:
-			var stats platform.Stats
-			loop.Do(func() { stats = manager.Stats() })
-			var mem runtime.MemStats
-			runtime.ReadMemStats(&mem)
-			log.Info("stands", zap.Any("figures", stats), zap.Uint64("heap", mem.HeapAlloc), zap.Uint64("from_system", mem.Sys))
+			logStats(log, loop, manager)
 		case received := <-signals:
 			if received != syscall.SIGHUP {
 				log.Info("received a signal to stop")
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -316,3 +316,22 @@
 		}
 	}
 }
+
+// Guards against a turn without end going unnoticed: waiting for the loop ends, and tells that the function has not run.
+func TestDoWithinEndsWhileTurnRuns(t *testing.T) {
+	c, l := newCountingLoop(t, edge.Limits{ReadBuffer: 64, MailboxBytes: 640})
+	conn, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = conn.Write([]byte("x"))
+	<-c.first
+	if l.DoWithin(time.Millisecond, func() {}) {
+		t.Error("the function ran within a turn of another event")
+	}
+	close(c.proceed)
+	if !l.DoWithin(10*time.Second, func() {}) {
+		t.Error("the function did not run after the turn had ended")
+	}
+}
--- a/internal/edge/loop.go
+++ b/internal/edge/loop.go
@@ -176,6 +176,22 @@
 	}
 }
 
+// DoWithin is like Do, but it waits no longer than limit. It reports whether the function has run; if not, it may still run
+// later.
+func (l *Loop) DoWithin(limit time.Duration, call func()) bool {
+	done := make(chan struct{})
+	l.Post(func() { call(); close(done) })
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-l.done:
+	case <-timer.C:
+	}
+	return false
+}
+
 func (l *Loop) post(e event) {
 	e.arrivedAt = Now()
 	l.mu.Lock()
