Refuse settings whose rungs or kinds do not fit the ladder and the lists

Change: an error that names the key. Measured: four cases of TestSite were accepted before and are refused now.

--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -120,6 +120,15 @@
 		len(domain.RateFactor) != classes || (len(domain.Seats) != classes && len(domain.Seats) != 0) {
 		return nil, fmt.Errorf("start information: the domain's tables do not have one entry for each of %d classes", classes)
 	}
+	for i := range classes {
+		if lowest, top := domain.LowestRung[i], min(domain.ClassTop[i], len(domain.LadderKb)-1); lowest < 0 || lowest > top {
+			return nil, fmt.Errorf("start information: lowestRung and classTop of class %d: expected rungs of the ladder, the lowest first, got %d and %d",
+				i, lowest, domain.ClassTop[i])
+		}
+	}
+	if len(domain.KindSlots) < len(o.Kinds) {
+		return nil, fmt.Errorf("start information: kindSlots: expected one entry for each of %d kinds, got %d", len(o.Kinds), len(domain.KindSlots))
+	}
 	onRequest, err := lookUp("registryMode", o.RegistryMode, map[string]bool{"pushed": false, "on_request": true})
 	if err != nil {
 		return nil, err
--- a/internal/start/start_test.go
+++ b/internal/start/start_test.go
@@ -23,6 +23,10 @@
 	}
 	for _, bad := range []string{"{", "[]", "{}", strings.Replace(startInfo, "read_like", "odd", 1),
 		strings.Replace(startInfo, `"rateFactor":[1.4]`, `"rateFactor":[]`, 1),
+		strings.Replace(startInfo, `"lowestRung":[0]`, `"lowestRung":[2]`, 1),
+		strings.Replace(startInfo, `"lowestRung":[0]`, `"lowestRung":[-1]`, 1),
+		strings.Replace(startInfo, `"classTop":[3]`, `"classTop":[-1]`, 1),
+		strings.Replace(startInfo, `"later"`, `"kinds":["a","b"],"later"`, 1),
 		strings.Replace(startInfo, `"pushed"`, `"carried"`, 1)} {
 		if _, err := Read([]byte(bad)); err == nil {
 			t.Errorf("Read accepted invalid settings %.40s", bad)
