Notes of servers whose figure is NaN are no readings

The fill of all links became NaN, no comparison held any more, and every later set-up was rejected. Change: the range check is written so that NaN is in no range, with one name for the bound.

--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -283,6 +283,9 @@
 	}
 }
 
+// maxNoteValue is the highest figure of a note or a load report that is taken for a share of a capacity.
+const maxNoteValue = 1e6
+
 // handleBoxRequest handles a request from a box: SET_PARAMETER with notes on a session, or TEARDOWN.
 func (f *Front) handleBoxRequest(dialogue *serverDialogue, request *rtsp.Message) {
 	status := rtsp.StatusOK
@@ -290,7 +293,7 @@
 	case rtsp.SetParameter:
 		for _, parameter := range rtsp.ParseParameters(request.Body) {
 			number, err := strconv.ParseFloat(parameter.Value, 64)
-			if err != nil || number < 0 || number > 1e6 {
+			if err != nil || !(number >= 0 && number <= maxNoteValue) { // NaN is in no range
 				status = rtsp.StatusParameterUnknown
 				continue
 			}
@@ -329,7 +332,7 @@
 func ParseLoad(value string) (load session.Load, ok bool) {
 	for _, pair := range rtsp.ParsePairs(value) {
 		number, err := strconv.ParseFloat(pair.Value, 64)
-		bad := err != nil || !(number >= 0 && number <= 1e6)
+		bad := err != nil || !(number >= 0 && number <= maxNoteValue) // NaN is in no range
 		switch {
 		case pair.Name == "capped":
 			load.Capped = true
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -324,7 +324,7 @@
 	var names []string
 	var values []float64
 	for _, field := range rtsp.ParsePairs(strings.ReplaceAll(text, ":", "=")) {
-		if value, err := strconv.ParseFloat(field.Value, 64); err == nil && value >= 0 && value < 1e6 {
+		if value, err := strconv.ParseFloat(field.Value, 64); err == nil && value >= 0 && value <= maxNoteValue {
 			names, values = append(names, field.Name), append(values, value)
 		}
 	}
@@ -462,6 +462,9 @@
 	m.reportEnd(pb, outcome, load)
 }
 
+// maxNoteValue is the highest figure of a note or a load report that is taken for a share of a capacity or a rung.
+const maxNoteValue = 1e6
+
 // noteKinds maps the names of notes on the wire.
 var noteKinds = map[string]session.NoteKind{"got": session.DeliveredShare, "level": session.CurrentRung, "port": session.LinkDemand,
 	"spine": session.UplinkDemand}
@@ -469,7 +472,7 @@
 func (m *Manager) serverNote(pb *playback, msg *boxes.Message) {
 	kind, ok := noteKinds[msg.Fields["note"]]
 	value, err := strconv.ParseFloat(msg.Fields["value"], 64)
-	if !ok || err != nil || value < 0 || value > 1e6 {
+	if !ok || err != nil || !(value >= 0 && value <= maxNoteValue) { // NaN is in no range
 		return
 	}
 	m.module.Noted(session.Note{Playback: pb.request.Playback, Server: pb.server.index, Kind: kind, Value: value})
