A turn ends even if a playback's highest rung is below the one that it runs at

Cause: stepUpValue excluded a stream only if a member's highest rung equals the stream's rung; below it, the stream was chosen for a step up, nobody moved, and it was chosen again without end. Change: only streams below each member's highest rung step up; the loops over steps end when a step moves nobody; a step down takes all members; SETUP with `at` and a top under the class's lowest rung gets 400. A server's note above the viewer's highest rung led to the same loop, or to a panic at the ladder's top. Why it works: each round of the loops now raises or lowers at least one playback's rung within the ladder, or is the last. The tests of internal/platform share one table of placeholder values.

--- a/cmd/pierlink/platform_test.go
+++ b/cmd/pierlink/platform_test.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	full := strings.NewReplacer("MEMORY", "64", "SOCKETS", strconv.Itoa(m.descriptors), "PROBES", "false", "EFFECT", "read_like", "IDLE", "15", "TENANTS", "[]",
+	full := strings.NewReplacer("MEMORY", "64", "SOCKETS", strconv.Itoa(m.descriptors), "PROBES", "false", "EFFECT", "read_like", "IDLE", "15", "TENANTS", "[]", "FLOOR", "0",
 		"127.0.0.1:1", m.listen, "10.2.0.1:8500", bus, "10.1.0.", "127.0.0.", `"giveUp":4`, `"giveUp":0.3`).Replace(string(text))
 	if err := os.WriteFile(m.config, []byte(full), 0o600); err != nil {
 		m.t.Fatal(err)
--- a/internal/platform/bus_test.go
+++ b/internal/platform/bus_test.go
@@ -1,7 +1,6 @@
 package platform_test
 
 import (
-	"strings"
 	"testing"
 
 	"pierlink/internal/core"
@@ -31,7 +30,7 @@
 	begin := now
 	dials := map[core.Time]int{}
 	for i := range managers {
-		text := strings.NewReplacer("MEMORY", "64", "SOCKETS", "256", "PROBES", "false", "EFFECT", "read_like", "IDLE", "15", "TENANTS", "[]").Replace(configuration)
+		text := defaultConfiguration()
 		config, err := platform.ParseConfig([]byte(text))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/platform/loopback_test.go
+++ b/internal/platform/loopback_test.go
@@ -106,9 +106,8 @@
 			_, _ = conn.Write(frame)
 		}
 	}()
-	text := strings.NewReplacer("MEMORY", "64", "SOCKETS", "256", "PROBES", "false", "EFFECT", "read_like", "IDLE", "15", "TENANTS", "[]",
-		"10.1.0.1:5060", server.Addr().String(), "10.2.0.1:8500", events.Addr().String(),
-		`{"uid":"s-00000002"`, `{"uid":"s-00000003"`, `"state":"Ready","capacity_hint":1,"boot_ms":0}]`, `"state":"Gone","capacity_hint":1,"boot_ms":0}]`).Replace(configuration)
+	text := strings.NewReplacer("10.1.0.1:5060", server.Addr().String(), "10.2.0.1:8500", events.Addr().String(),
+		`{"uid":"s-00000002"`, `{"uid":"s-00000003"`, `"state":"Ready","capacity_hint":1,"boot_ms":0}]`, `"state":"Gone","capacity_hint":1,"boot_ms":0}]`).Replace(defaultConfiguration())
 	config, err := platform.ParseConfig([]byte(text))
 	if err != nil {
 		t.Fatal(err)
@@ -188,7 +187,7 @@
 
 // The error for an invalid configuration names the key.
 func TestInvalidConfigurations(t *testing.T) {
-	good := strings.NewReplacer("MEMORY", "64", "SOCKETS", "256", "PROBES", "false", "EFFECT", "read_like", "IDLE", "15", "TENANTS", "[]").Replace(configuration)
+	good := defaultConfiguration()
 	for key, change := range map[string][2]string{"seed": {"8c1f30d27a5be964", "x"}, "bus": {"10.2.0.1:8500", "nowhere"}, "listen": {"127.0.0.1:1", ""},
 		"limits": {`"sockets":256`, `"sockets":8`}, "settings": {"read_like", "odd"}, "known: ": {"s-00000001", "one"}, "state": {"Ready", "Odd"},
 		"not in the settings": {`"az":"a"`, `"az":"z"`}, "classes[0].giveUp": {`"giveUp":4`, `"giveUp":0`}, "limits.connectTimeout": {`"connectTimeout":0.25`, `"connectTimeout":0`},
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -27,6 +28,21 @@
 	return string(text)
 }()
 
+// defaultSettings are the values of the configuration's placeholders where a test sets no others.
+var defaultSettings = map[string]string{"MEMORY": "64", "SOCKETS": "256", "PROBES": "false", "EFFECT": "read_like", "IDLE": "15",
+	"TENANTS": "[]", "FLOOR": "0"}
+
+// fillIn returns the configuration with values for its placeholders.
+func fillIn(values map[string]string) string {
+	var pairs []string
+	for name, value := range values {
+		pairs = append(pairs, name, value)
+	}
+	return strings.NewReplacer(pairs...).Replace(configuration)
+}
+
+func defaultConfiguration() string { return fillIn(defaultSettings) }
+
 // scenario runs one scenario file. `T conn event ...` advances the clock to T seconds and delivers an event; `> action`
 // expects an action of that prefix since then, `! action` expects none, and `= N action` expects exactly N. `|` separates
 // steps on a line, and `set KEY VALUE` lines come first. v, w, ... are connections of viewers, d1, d2, ... connections to
@@ -34,7 +50,7 @@
 type scenario struct {
 	t           *testing.T
 	step        string
-	settings    *strings.Replacer
+	settings    map[string]string
 	manager     *platform.Manager
 	now         core.Time
 	next        core.Time
@@ -256,7 +272,7 @@
 }
 
 func (s *scenario) config() *platform.Config {
-	config, err := platform.ParseConfig([]byte(s.settings.Replace(configuration)))
+	config, err := platform.ParseConfig([]byte(fillIn(s.settings)))
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -283,7 +299,7 @@
 }
 
 func (s *scenario) run(text string) {
-	set := map[string]string{"MEMORY": "64", "SOCKETS": "256", "PROBES": "false", "EFFECT": "read_like", "IDLE": "15", "TENANTS": "[]"}
+	set := maps.Clone(defaultSettings)
 	const begin = 1000 * core.Second
 	for _, line := range strings.Split(text, "\n") {
 		line, _, _ = strings.Cut(line, "#")
@@ -297,11 +313,7 @@
 				continue
 			}
 			if s.manager == nil {
-				var pairs []string
-				for name, value := range set {
-					pairs = append(pairs, name, value)
-				}
-				s.settings, s.now = strings.NewReplacer(pairs...), begin
+				s.settings, s.now = set, begin
 				s.manager = platform.New(s, s.config(), s.now, policy.New)
 				s.manager.Exit = func() { s.record("exit") }
 				s.manager.StopAccepting = func() { s.record("hush") }
--- a/internal/platform/tenants_test.go
+++ b/internal/platform/tenants_test.go
@@ -1,8 +1,8 @@
 package platform_test
 
 import (
+	"maps"
 	"slices"
-	"strings"
 	"testing"
 
 	"pierlink/internal/core"
@@ -29,9 +29,9 @@
 
 // The module receives the tenant of each set-up, also of a playback that plays already.
 func TestModuleGetsTenantOfEachSetup(t *testing.T) {
-	text := strings.NewReplacer("MEMORY", "64", "SOCKETS", "256", "PROBES", "false", "EFFECT", "read_like", "IDLE", "15",
-		"TENANTS", `[{"name":"north","quotaPerS":5},{"name":"south","quotaPerS":6}]`).Replace(configuration)
-	config, err := platform.ParseConfig([]byte(text))
+	settings := maps.Clone(defaultSettings)
+	settings["TENANTS"] = `[{"name":"north","quotaPerS":5},{"name":"south","quotaPerS":6}]`
+	config, err := platform.ParseConfig([]byte(fillIn(settings)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -274,13 +274,17 @@
 	}
 	request.FirstCell, request.CellCount, request.Top = int(base), int(span), int(top)
 	serverName = fields["at"]
+	floor := settings.Site.Plans[request.Plan].Floor
+	if serverName != "" && request.Top < floor { // no playback plays below its plan's lowest rung
+		return nil, "", false
+	}
 	answerWithin, answerWithinOK := parseNumber(msg.Get("Answer-Within"), 1, settings.AbandonAfter[request.Plan]/core.Millisecond)
 	if !answerWithinOK && serverName == "" { // a playback that plays already needs no answer
 		return nil, "", false
 	}
 	answerWithin *= core.Millisecond
 	request.AbandonAt = m.eventAt + answerWithin - answerWithin/networkMarginDivisor
-	pb.rung = settings.Site.Plans[request.Plan].Floor
+	pb.rung = floor
 	return pb, serverName, true
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -705,16 +705,18 @@
 		if estimate.steppedAt = f.now; cheapest == nil || excessKB < cheapestKB*f.random() {
 			return // the excess is less than one stream: by chance, only some of the fronts step theirs
 		}
-		f.setStreamRung(cheapest, cheapest.rung-1)
+		if f.setStreamRung(cheapest, cheapest.rung-1) == 0 {
+			return
+		}
 		excessKB -= cheapestKB
 	}
 }
 
 // stepUpValue returns the revenue and the demand that a stream's next rung adds. The revenue is 0 unless all viewers
-// of the stream can use that rung.
+// of the stream can use that rung. A taken-over playback may run above the highest rung that its viewer can use.
 func (f *front) stepUpValue(stream *streamState) (gain, kb float64) {
 	for _, pb := range stream.members {
-		if pb.Top == stream.rung || !pb.playing || pb.moving {
+		if pb.Top <= stream.rung || !pb.playing || pb.moving {
 			return 0, 1
 		}
 		gain += f.revenue(pb) * (f.rungRevenue(stream.rung+1) - f.rungRevenue(stream.rung))
@@ -739,7 +741,7 @@
 		bestDensity := 0.0
 		for _, stream := range server.streams {
 			gain, kb := f.stepUpValue(stream)
-			if gain/kb <= bestDensity || f.fillWith(server, kb*fronts) > f.fillMark(gain/kb)-stepUpMargin {
+			if !(gain/kb > bestDensity) || f.fillWith(server, kb*fronts) > f.fillMark(gain/kb)-stepUpMargin {
 				continue
 			}
 			payback := stepUpPayback * float64(f.Ladder.RungChangeCost) / (f.rungRevenue(stream.rung+1) - f.rungRevenue(stream.rung))
@@ -754,7 +756,9 @@
 			f.requestProbe(srv)
 			return
 		}
-		f.setStreamRung(best, best.rung+1)
+		if f.setStreamRung(best, best.rung+1) == 0 {
+			return // without progress the same stream would be chosen again
+		}
 		server.link.steppedAt, uplink.steppedAt = f.now, f.now
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -275,18 +275,22 @@
 	return pb
 }
 
-// setStreamRung takes those members of a stream to another rung that can use it.
-func (f *front) setStreamRung(stream *streamState, rung int) {
+// setStreamRung takes the members of a stream to another rung, upwards only those that can use it. It returns how many
+// it took there.
+func (f *front) setStreamRung(stream *streamState, rung int) (moved int) {
+	up := rung > stream.rung
 	for _, pb := range slices.Clone(stream.members) {
-		if rung > pb.Top {
+		if up && rung > pb.Top {
 			continue
 		}
+		moved++
 		f.detach(pb)
 		f.attach(pb, stream.server, rung)
 		pb.stream.rungChangedAt, pb.stream.openedRemote = f.now, stream.openedRemote
 		pb.wantRung = rung
 		f.markDirty(pb)
 	}
+	return moved
 }
 
 // reserve counts a setup try at the server and takes a seat for it.
