A half-closed connection to a video server that hangs is read until the server ends it

Cause: every 2 s of silence a connection checked whether the machine can be reached, which its kernel accepts; at four connections each check half-closed one and closed it 1 s later, unread by the server. When the server went on it wrote the ends of its playbacks there, and nowhere else later. Change: drainConn waits until the server ends the connection or its process has been heard since (bytes, or a connection that it ended; an accepted one is no sign of the process), as long as a playback stands there. A check replaces an earlier check, not a connection with set-ups. Bounds: as many half-closed connections as usual ones for a server, and one more. Why it works: what a server writes before it reads of our half-close arrives, however late it reads. Connections to servers have a file of their own, serverconns.go.

--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -23,10 +23,12 @@
 	state                 session.ServerState
 	started               core.Time // start time reported by the server list
 	conns                 []*serverConn
+	draining              []*serverConn // half-closed ones, which are only read
 	playing               map[*playback]struct{}
 	tries                 int                    // set-up tries in progress
 	probes                map[string]*core.Timer // timeouts of outstanding probes, by ID
-	lastHeardAt           core.Time              // last accepted connection or received bytes
+	lastReachedAt         core.Time              // last accepted connection or sign of the process: whether the machine can be reached
+	lastSignAt            core.Time              // last bytes of the process, or connection that it ended: a kernel accepts connections for one that hangs
 	lastPlaybackMessageAt core.Time              // last message about a playback of this manager
 	lastDialAt            core.Time
 	resetAt               core.Time       // last reset of a connection, 0 once another is up
@@ -41,21 +43,6 @@
 	expires core.Time // not sent after this time
 }
 
-// serverConn is a connection to a server. Set-ups of many playbacks share it.
-type serverConn struct {
-	server     *server
-	transport  *core.Conn
-	reader     boxes.Reader
-	up         bool
-	closing    bool
-	draining   bool        // half-closed: nothing is sent, but messages are read until the server closes
-	stale      bool        // a set-up on it timed out: it is used for no further ones
-	setups     []*playback // whose offer was sent on it, or waits for it to come up
-	timer      *core.Timer
-	upAt       core.Time
-	lastUsedAt core.Time // last sent or received bytes
-}
-
 // applyEvent applies an event of the server list.
 func (m *Manager) applyEvent(event feed.Event) {
 	list := session.List{Complete: event.Snapshot}
@@ -67,7 +54,7 @@
 			if entry.State == session.Gone {
 				continue
 			}
-			srv = &server{id: entry.ID, name: feed.ServerName(entry.ID), playing: map[*playback]struct{}{}, probes: map[string]*core.Timer{}, lastHeardAt: m.now}
+			srv = &server{id: entry.ID, name: feed.ServerName(entry.ID), playing: map[*playback]struct{}{}, probes: map[string]*core.Timer{}, lastReachedAt: m.now, lastSignAt: m.now}
 			srv.index = len(m.serverByIndex)
 			if count := len(m.freeServerIndexes); count > 0 {
 				srv.index, m.freeServerIndexes = m.freeServerIndexes[count-1], m.freeServerIndexes[:count-1]
@@ -119,87 +106,6 @@
 	}
 }
 
-// connFor returns the usable connection with the fewest pending set-ups, or dials a new one if the limits permit.
-func (m *Manager) connFor(srv *server) *serverConn {
-	var best *serverConn
-	for _, conn := range srv.conns {
-		if conn.stale || m.nearIdleTimeout(conn) {
-			continue
-		}
-		if best == nil || len(conn.setups) < len(best.setups) {
-			best = conn
-		}
-	}
-	if best == nil || len(best.setups) > 0 && len(srv.conns) < m.connsPerServer {
-		if conn := m.dial(srv); conn != nil {
-			return conn
-		}
-	}
-	if best != nil && m.config.Settings.StreamsPerConn > 0 && len(best.setups) >= m.config.Settings.StreamsPerConn {
-		return nil
-	}
-	return best
-}
-
-func (m *Manager) dial(srv *server) *serverConn {
-	if m.serverConnCount >= m.config.Sockets/serverSocketsDivisor && !m.evictIdleConn() || srv.state == session.Gone {
-		return nil
-	}
-	conn := &serverConn{server: srv, transport: &core.Conn{}, lastUsedAt: m.now}
-	conn.transport.Owner = conn
-	srv.conns = append(srv.conns, conn)
-	srv.lastDialAt = m.now
-	m.serverConnCount++
-	conn.timer = m.timers.Set(nil, m.now+m.config.Settings.ConnectTimeout, func() { m.serverConnUp(conn, errors.New("connect timeout")) })
-	m.network.Dial(conn.transport, srv.address)
-	return conn
-}
-
-// evictIdleConn closes the connection that has been unused for the longest time, among those that are not needed.
-func (m *Manager) evictIdleConn() bool {
-	var victim *serverConn
-	for _, srv := range m.servers {
-		for _, conn := range srv.conns {
-			if len(conn.setups) == 0 && (len(srv.playing) == 0 || len(srv.conns) > 1) && len(srv.probes) == 0 &&
-				(victim == nil || conn.lastUsedAt < victim.lastUsedAt || conn.lastUsedAt == victim.lastUsedAt && srv.id < victim.server.id) {
-				victim = conn
-			}
-		}
-	}
-	if victim != nil {
-		m.closeServerConn(victim)
-	}
-	return victim != nil
-}
-
-// drainConn closes a connection gracefully, by a half-close: what the server has just sent about its playbacks would
-// otherwise be lost, as it is sent only once.
-func (m *Manager) drainConn(conn *serverConn) {
-	if conn.closing || conn.draining {
-		return
-	}
-	if !conn.up || len(conn.server.playing) == 0 || m.halfCloser == nil {
-		m.closeServerConn(conn)
-		return
-	}
-	conn.draining = true
-	conn.server.conns = slices.DeleteFunc(conn.server.conns, func(other *serverConn) bool { return other == conn })
-	m.halfCloser.CloseWrite(conn.transport)
-	conn.timer = m.timers.Set(conn.timer, m.now+drainTimeout, func() { m.closeServerConn(conn) })
-}
-
-func (m *Manager) closeServerConn(conn *serverConn) {
-	if conn.closing {
-		return
-	}
-	conn.closing = true
-	conn.reader.Stop()
-	m.timers.Stop(conn.timer)
-	conn.server.conns = slices.DeleteFunc(conn.server.conns, func(other *serverConn) bool { return other == conn })
-	m.serverConnCount--
-	m.network.Close(conn.transport)
-}
-
 func (m *Manager) serverConnUp(conn *serverConn, err error) {
 	if conn.closing {
 		return
@@ -215,7 +121,7 @@
 		m.failProbes(srv, session.NoConnection)
 		if errors.Is(err, core.ErrRefused) {
 			if slices.ContainsFunc(srv.conns, func(other *serverConn) bool { return other.up }) {
-				srv.lastHeardAt = m.now // it is full, but running: a process that had exited would have reset its other connections
+				srv.lastReachedAt = m.now // it is full, but running: a process that had exited would have reset its other connections
 			} else if srv.firstRefusedAt == 0 {
 				srv.firstRefusedAt = m.now
 			} else if m.hasExited(srv) {
@@ -224,7 +130,7 @@
 		}
 		return
 	}
-	conn.up, conn.upAt, conn.lastUsedAt, srv.lastHeardAt, srv.resetAt, srv.firstRefusedAt = true, m.now, m.now, m.now, 0, 0
+	conn.up, conn.upAt, conn.lastUsedAt, srv.lastReachedAt, srv.resetAt, srv.firstRefusedAt = true, m.now, m.now, m.now, 0, 0
 	for _, queued := range srv.outbox {
 		if m.now <= queued.expires {
 			m.network.Send(conn.transport, queued.line)
@@ -335,7 +241,8 @@
 	if conn.closing {
 		return
 	}
-	conn.server.lastHeardAt, conn.lastUsedAt = m.now, m.now
+	conn.lastUsedAt = m.now
+	m.signOfLife(conn.server)
 	err := conn.reader.Feed(data, func(msg *boxes.Message) { m.serverMessage(conn, msg) })
 	if err == nil || conn.closing {
 		return
@@ -350,11 +257,14 @@
 	if conn.closing {
 		return
 	}
+	srv := conn.server
+	if errors.Is(err, core.ErrClosedByPeer) {
+		m.signOfLife(srv)
+	}
 	if conn.draining {
 		m.closeServerConn(conn)
 		return
 	}
-	srv := conn.server
 	m.trace("connection to server %s lost: %v", srv.name, err)
 	m.closeServerConn(conn)
 	srv.resetAt = m.now
@@ -483,7 +393,8 @@
 func (m *Manager) checkServers() {
 	for id, srv := range m.servers {
 		for _, conn := range slices.Clone(srv.conns) {
-			if conn.up && len(conn.setups) == 0 && len(srv.probes) == 0 && m.nearIdleTimeout(conn) && (len(srv.playing) == 0 || len(srv.conns) > 1) {
+			idle := len(srv.probes) == 0 && m.nearIdleTimeout(conn) && (len(srv.playing) == 0 || len(srv.conns) > 1)
+			if conn.up && len(conn.setups) == 0 && (idle || conn.stale) {
 				m.drainConn(conn)
 			}
 		}
@@ -491,25 +402,17 @@
 		if len(srv.conns) == 0 && srv.state != session.Gone && len(srv.outbox)+len(srv.playing) > 0 && m.now-srv.lastDialAt > sweepInterval/2 {
 			m.dial(srv)
 		}
-		switch silentFor := m.now - srv.lastHeardAt; {
+		switch silentFor := m.now - srv.lastReachedAt; {
 		case len(srv.playing) == 0:
 		case m.notesExpected() && m.now-srv.lastPlaybackMessageAt > noteTimeout:
 			m.endPlaybacks(srv, "no messages about its playbacks", nil)
 		case srv.state == session.Gone && (len(srv.conns) == 0 || silentFor > serverLostTimeout), silentFor > serverLostTimeout:
 			m.endPlaybacks(srv, "nothing received for "+strconv.FormatInt(silentFor/core.Millisecond, 10)+" ms", nil)
 		case silentFor > silenceBeforeRedial && m.now-srv.lastDialAt > silenceBeforeRedial/4:
-			if count := len(srv.conns); count >= m.connsPerServer {
-				for _, conn := range srv.conns {
-					if len(conn.setups) == 0 && conn.up {
-						m.drainConn(conn)
-						break
-					}
-				}
-			}
-			m.dial(srv)
+			m.checkReachable(srv)
 		}
 		if srv.state == session.Gone && len(srv.playing) == 0 && srv.tries == 0 && len(srv.probes) == 0 && m.now-srv.goneAt > endNoticeDeadline {
-			for _, conn := range slices.Clone(srv.conns) {
+			for _, conn := range slices.Concat(srv.conns, srv.draining) {
 				m.closeServerConn(conn)
 			}
 			delete(m.servers, id)
