Want of descriptors closes connections of servers at which nothing plays first

The connection unused for the longest time was closed at once, also where playbacks stood and others were idle at servers without any; what a server was writing there is lost. Change: an eviction rank: nothing plays there, half-closed, one of several; within a rank the longest unused.

--- a/internal/platform/serverconns.go
+++ b/internal/platform/serverconns.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 
@@ -67,13 +68,13 @@
 	return conn
 }
 
-// evictIdleConn closes the connection that has been unused for the longest time, among those that are not needed.
+// evictIdleConn closes the connection with the lowest eviction rank and, among those, the one that has been unused for the
+// longest time. It reports whether there was one.
 func (m *Manager) evictIdleConn() bool {
 	var victim *serverConn
 	for _, srv := range m.servers {
 		for _, conn := range slices.Concat(srv.conns, srv.draining) {
-			if len(conn.setups) == 0 && (len(srv.playing) == 0 || len(srv.conns) > 1) && len(srv.probes) == 0 &&
-				(victim == nil || conn.lastUsedAt < victim.lastUsedAt || conn.lastUsedAt == victim.lastUsedAt && srv.id < victim.server.id) {
+			if conn.evictionRank() != neverEvicted && (victim == nil || conn.evictedBefore(victim)) {
 				victim = conn
 			}
 		}
@@ -84,6 +85,31 @@
 	return victim != nil
 }
 
+// neverEvicted is the eviction rank of connections that are needed.
+const neverEvicted = 3
+
+// evictionRank returns the order in which connections are closed where descriptors are short: the lowest first. What a
+// server is just writing about its playbacks is lost with a connection that is closed at once.
+func (conn *serverConn) evictionRank() int {
+	srv := conn.server
+	switch {
+	case conn.draining && len(srv.playing) > 0:
+		return 1
+	case len(conn.setups) > 0 || len(srv.probes) > 0:
+		return neverEvicted
+	case len(srv.playing) == 0:
+		return 0
+	case len(srv.conns) > 1:
+		return 2
+	}
+	return neverEvicted
+}
+
+func (conn *serverConn) evictedBefore(other *serverConn) bool {
+	return cmp.Or(cmp.Compare(conn.evictionRank(), other.evictionRank()), cmp.Compare(conn.lastUsedAt, other.lastUsedAt),
+		cmp.Compare(conn.server.id, other.server.id)) < 0
+}
+
 // drainConn closes a connection gracefully, by a half-close: what the server writes about its playbacks before it has
 // read of that would otherwise be lost, as it is sent only once. Nothing happens if the server has not answered as many
 // half-closes as it may have connections; checkServers tries again.
