A reset connection to a server at which playbacks stand is replaced at once

Change: one is opened at once after a reset, if none is being opened; not after a close by the server, as all of that was read.

--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -276,12 +276,13 @@
 		}
 	}
 	m.failProbes(srv, session.Reset)
-	if len(srv.conns) == 0 && len(srv.playing) > 0 {
-		if srv.state == session.Gone {
-			m.endPlaybacks(srv, "the server has left the list and its connections are closed", nil)
-		} else {
-			m.dial(srv)
-		}
+	switch {
+	case len(srv.playing) == 0:
+	case srv.state == session.Gone && len(srv.conns) == 0:
+		m.endPlaybacks(srv, "the server has left the list and its connections are closed", nil)
+	case slices.ContainsFunc(srv.conns, func(other *serverConn) bool { return !other.up }): // one is being opened
+	case len(srv.conns) == 0, !errors.Is(err, core.ErrClosedByPeer) && len(srv.conns) < m.connsPerServer:
+		m.dial(srv) // an end that was lost with the connection is sent again on the next one that is opened
 	}
 }
 
