What waits in a socket is read before the connection that its peer has closed is closed

Of what a peer writes just before it closes, three buffers at most were delivered (12 KiB on the platform). Cause: the poller reads a connection three times at most and then closes it if the event reports the peer's close, whatever is unread. Change: the edge reads by itself, straight into the buffers that it posts; a connection that its peer has closed is read to the end. Why it works: the poller closes only after the edge's read has returned, and that returns after the last byte.

--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -27,6 +27,7 @@
 	accepted      chan int
 	conns         []*core.Conn
 	bytes         int
+	closed        chan struct{}
 }
 
 func (c *countingCore) BeginTurn(core.Time) { c.turnPieces = 0 }
@@ -43,12 +44,12 @@
 	c.bytes += len(b)
 	c.maxTurnPieces = max(c.maxTurnPieces, c.turnPieces)
 }
-func (c *countingCore) Closed(*core.Conn, error) {}
+func (c *countingCore) Closed(*core.Conn, error) { c.closed <- struct{}{} }
 func (c *countingCore) EndTurn() core.Time       { return core.Never }
 
 func newCountingLoop(t *testing.T, limits edge.Limits) (*countingCore, *edge.Loop) {
 	t.Helper()
-	c := &countingCore{first: make(chan struct{}), proceed: make(chan struct{}), accepted: make(chan int, 100)}
+	c := &countingCore{first: make(chan struct{}), proceed: make(chan struct{}), accepted: make(chan int, 100), closed: make(chan struct{}, 100)}
 	l, err := edge.NewWithLimits(limits, "127.0.0.1:0", func(n core.Net) core.Core { c.net = n; return c })
 	if err != nil {
 		t.Fatal(err)
@@ -90,6 +91,33 @@
 	}
 }
 
+// Guards against losing what waits in a socket when its peer closes: all of it is delivered before the close, however many
+// buffers it fills.
+func TestPeerCloseLosesNothing(t *testing.T) {
+	c, l := newCountingLoop(t, edge.Limits{ReadBuffer: 64, MailboxBytes: 640})
+	conn, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	const total = 50_000
+	if _, err := conn.Write(make([]byte, total)); err != nil {
+		t.Fatal(err)
+	}
+	<-c.first
+	_ = conn.Close() // while the mailbox is full and the rest waits in the socket
+	close(c.proceed)
+	select {
+	case <-c.closed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the close was not delivered within 10 s")
+	}
+	received := 0
+	l.Do(func() { received = c.bytes })
+	if received != total {
+		t.Errorf("%d bytes were delivered before the close, want %d", received, total)
+	}
+}
+
 // Connections beyond the limit are not accepted until one is closed.
 func TestConnectionLimit(t *testing.T) {
 	c, l := newCountingLoop(t, edge.Limits{ReadBuffer: 64, MailboxBytes: 640, MaxConnections: 2})
--- a/internal/edge/loop.go
+++ b/internal/edge/loop.go
@@ -123,18 +123,7 @@
 		conn.SetSession(s)
 		l.post(event{kind: accepted, socket: s, remoteAddr: conn.RemoteAddr().String()})
 	})
-	l.engine.OnData(func(conn *nbio.Conn, data []byte) {
-		s, ok := conn.Session().(*socket)
-		if !ok {
-			return
-		}
-		for len(data) > 0 {
-			b := l.buffers.Get().(*[]byte)
-			n := copy(*b, data)
-			data = data[n:]
-			l.post(event{kind: received, socket: s, data: b, size: n})
-		}
-	})
+	l.engine.OnRead(l.readConn)
 	l.engine.OnWrittenSize(func(conn *nbio.Conn, _ []byte, n int) {
 		s, ok := conn.Session().(*socket)
 		if !ok {
