The daemon's timers run after what has come is handled

The front ran due timers at a turn's beginning, before the turn's events: after a pause of the process a try was ended as timed out although its answer had come. Change: timers run in EndTurn, as on the platform.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -193,7 +193,7 @@
 	return f
 }
 
-// BeginTurn begins a turn: it sets the clock and runs the timers that are due.
+// BeginTurn begins a turn, or goes on with a late one: it sets the clock.
 func (f *Front) BeginTurn(now Time) {
 	f.now = now
 	f.module.BeginTurn(now)
@@ -208,7 +208,6 @@
 		f.queue.Advance(now)
 		f.queue.SetLag(now - min(f.timers.Next(), now))
 	}
-	f.timers.Run(now)
 }
 
 // Accepted handles a new connection from a player.
@@ -321,9 +320,11 @@
 	f.playerClosed(peer)
 }
 
-// EndTurn ends a turn: it carries out the module's actions, until they cause no more events, and sends the
-// queued output. It returns when the next turn is due at the latest.
+// EndTurn ends a turn: it runs the timers that are due, carries out the module's actions, until they cause no more
+// events, and sends the queued output. It returns when the next turn is due at the latest. Received events are handled
+// before timers fire, because after a pause of the process both may be waiting.
 func (f *Front) EndTurn() Time {
+	f.timers.Run(f.now)
 	next := core.Never
 	for {
 		accessNext := core.Never
