Set-ups that wait for a connection leave at the end of the turn in which it comes up

They were written as the connection came up, before later events of the same turn, such as a drain of that server. Change: they are sent once the turn's events are known, or reported as not sent if their server is not ready any more. Measured: the new part of list.txt failed before (a set-up to the draining server) and passes now. Scenarios may have several events in a turn, and pauses.

--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -44,7 +44,8 @@
 func defaultConfiguration() string { return fillIn(defaultSettings) }
 
 // scenario runs one scenario file. `T conn event ...` advances the clock to T seconds and delivers an event; `> action`
-// expects an action of that prefix since then, `! action` expects none, and `= N action` expects exactly N. `|` separates
+// expects an action of that prefix since then, `! action` expects none, and `= N action` expects exactly N. `&` separates
+// events of one turn. `|` separates
 // steps on a line, and `set KEY VALUE` lines come first. v, w, ... are connections of viewers, d1, d2, ... connections to
 // servers in the order of the dials, and b1, ... those to the bus. A session is named by one hex digit.
 type scenario struct {
@@ -341,8 +342,15 @@
 				}
 				s.actions = nil
 				s.advance(begin + core.Time(at*1e6))
+				if len(words) > 3 && words[1] == "pause" { // the process stands still for so many seconds, and the events come meanwhile
+					seconds, _ := strconv.ParseFloat(words[2], 64)
+					s.now += core.Time(seconds * 1e6)
+					words = words[2:]
+				}
 				s.manager.BeginTurn(s.now)
-				s.deliver(words[1:])
+				for event := range strings.SplitSeq(strings.Join(words[1:], " "), " & ") {
+					s.deliver(strings.Fields(event))
+				}
 				s.next = s.manager.EndTurn()
 			}
 		}
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -137,12 +137,21 @@
 		}
 	}
 	srv.outbox = nil
+	m.deferred = append(m.deferred, func() { m.sendWaitingOffers(conn) })
+}
+
+// sendWaitingOffers sends the set-ups that waited for a connection to come up. It runs at the end of a turn, as a list
+// event of the same turn may take their server out of service.
+func (m *Manager) sendWaitingOffers(conn *serverConn) {
+	if conn.closing {
+		return
+	}
 	for _, pb := range slices.Clone(conn.setups) {
-		if srv.state != session.Ready {
+		if conn.server.state != session.Ready {
 			m.reportEnd(pb, session.NotSent, "")
-			continue
+		} else if !pb.offerSent {
+			m.sendOffer(pb)
 		}
-		m.sendOffer(pb)
 	}
 }
 
