A late turn ends only when what lay unread in the sockets has been delivered

Cause: the first turn after a pause decided and ran its timers on what the poller had posted by then, while the bus's event lay in its socket; a timer took the pause for silence of the bus and closed the connection with the event in it. Change: a turn that is over 20 ms late, or takes that long, asks the kernel which sockets hold bytes or a close, and delivers until exactly those have come, 0.1 s at most. A socket that the poller is reading counts as unread until its bytes are posted. Why it works: decisions, timers and sends stand at the end of a turn, so all of them rest on input as new as the turn's clock.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -48,9 +48,10 @@
 
 // Core is a program without its sockets. It is owned by one goroutine, which runs it in turns: a turn starts with the
 // current time, delivers events in the order of their arrival, and ends with EndTurn, which returns the latest time at
-// which the next turn has to start.
+// which the next turn has to start. A core decides, and runs the timers that are due, in EndTurn: in a late turn the edge
+// calls BeginTurn again and delivers more events until all that had arrived by then is known.
 type Core interface {
-	BeginTurn(now Time)            // starts a turn
+	BeginTurn(now Time)            // starts a turn, or goes on with a late one
 	Accepted(c *Conn, from string) // from is the peer's address
 	Dialed(c *Conn, err error)     // err is nil if the connection is up
 	Received(c *Conn, b []byte)    // b belongs to the edge and must not be kept
--- a/internal/edge/loop.go
+++ b/internal/edge/loop.go
@@ -51,15 +51,24 @@
 	secureAddr    string
 	spaceFreed    sync.Cond // broadcast when the mailbox is emptied, a connection closes or the loop stops
 	mailbox       []event
-	mailboxBytes  int  // of the receive buffers held by events in the mailbox
-	openAccepted  int  // connections accepted and not closed yet
-	acceptStopped bool // no further connections are accepted
+	taken         []event // the events taken last, whose space is reused
+	mailboxBytes  int     // of the receive buffers held by events in the mailbox
+	openAccepted  int     // connections accepted and not closed yet
+	acceptStopped bool    // no further connections are accepted
 	stopped       bool
 	wake          chan struct{} // an event or the stop has to be handled
 	done          chan struct{} // closed when the loop's goroutine ends
 	buffers       sync.Pool
-	clientTLS     *tls.Config          // for connections that the core dials; nil for the system's certificate authorities
-	sockets       map[*socket]struct{} // open connections; used by the loop's goroutine only
+	clientTLS     *tls.Config            // for connections that the core dials; nil for the system's certificate authorities
+	sockets       map[*socket]struct{}   // open connections; used by the loop's goroutine only
+	observer      turnObserver           // the core, if it is one
+	reading       atomic.Pointer[socket] // which the poller is reading, until what it has read is posted
+}
+
+// turnObserver is implemented by cores that measure the duration of turns and the time that events wait.
+type turnObserver interface {
+	EventArrived(at core.Time)
+	TurnFinished(waited, took core.Time)
 }
 
 type event struct {
@@ -87,15 +96,17 @@
 
 // socket is the state of the edge for a core.Conn.
 type socket struct {
-	conn          core.Conn
-	coreConn      *core.Conn // the connection as the core has it: &conn if it was accepted
-	transport     transport
-	sentBytes     int64 // used by the loop's goroutine only
-	writtenBytes  atomic.Int64
-	drainPending  atomic.Bool // a drained event has to be posted once all is written
-	closedForCore bool        // the core gets no more events
-	closedEarly   bool        // closed by the core before it was connected
-	cancel        func()      // cancels the dial; nil if it was accepted
+	conn           core.Conn
+	coreConn       *core.Conn // the connection as the core has it: &conn if it was accepted
+	transport      transport
+	sentBytes      int64 // used by the loop's goroutine only, and so is deliveredBytes
+	deliveredBytes int64
+	readBytes      atomic.Int64 // passed on by the poller
+	writtenBytes   atomic.Int64
+	drainPending   atomic.Bool // a drained event has to be posted once all is written
+	closedForCore  bool        // the core gets no more events
+	closedEarly    bool        // closed by the core before it was connected
+	cancel         func()      // cancels the dial; nil if it was accepted
 }
 
 // New starts a loop with the default limits that listens on an address, or nowhere if it is empty. build returns the
@@ -112,6 +123,7 @@
 	config := nbio.Config{Name: "pierlink", NPoller: 1, ReadBufferSize: limits.ReadBuffer, EpollMod: nbio.EPOLLLT}
 	l.engine = nbio.NewEngine(config)
 	l.core = build(l)
+	l.observer, _ = l.core.(turnObserver)
 	l.engine.OnOpen(func(conn *nbio.Conn) {
 		if s, ok := conn.Session().(*socket); ok {
 			l.post(event{kind: dialed, socket: s, transport: conn})
@@ -233,19 +245,9 @@
 func (l *Loop) run() {
 	defer close(l.done)
 	timer := time.NewTimer(0)
-	var events []event
-	observer, _ := l.core.(interface { // implemented by cores that measure the duration of turns and the time that events wait
-		EventArrived(at core.Time)
-		TurnFinished(waited, took core.Time)
-	})
 	next := core.Time(0) // the first turn starts at once
 	for {
-		l.mu.Lock()
-		events, l.mailbox = l.mailbox, events[:0]
-		l.mailboxBytes = 0
-		stopped := l.stopped
-		l.spaceFreed.Broadcast()
-		l.mu.Unlock()
+		events, stopped := l.takeEvents()
 		if stopped {
 			return
 		}
@@ -260,22 +262,46 @@
 			}
 			continue
 		}
-		l.core.BeginTurn(now)
-		waited := core.Time(0)
-		if len(events) > 0 {
-			waited = max(now-events[0].arrivedAt, 0)
-		}
-		for i := range events {
-			if observer != nil {
-				observer.EventArrived(events[i].arrivedAt)
-			}
-			l.deliver(&events[i])
-			events[i] = event{}
-		}
-		next = l.core.EndTurn()
-		if observer != nil {
-			observer.TurnFinished(waited, Now()-now)
+		next = l.turn(now, next, events)
+	}
+}
+
+// takeEvents empties the mailbox. The events are valid until the next call.
+func (l *Loop) takeEvents() (events []event, stopped bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.taken, l.mailbox = l.mailbox, l.taken[:0]
+	l.mailboxBytes = 0
+	l.spaceFreed.Broadcast()
+	return l.taken, l.stopped
+}
+
+// turn runs a turn that begins at a time and was due at another one. It returns when the next turn is due.
+func (l *Loop) turn(now, due core.Time, events []event) core.Time {
+	l.core.BeginTurn(now)
+	waited := core.Time(0)
+	if len(events) > 0 {
+		waited = max(now-events[0].arrivedAt, 0)
+	}
+	l.deliverAll(events)
+	if due > 0 && max(now-due, waited, Now()-now) > lateTurn {
+		l.catchUp()
+	}
+	next := l.core.EndTurn()
+	if l.observer != nil {
+		l.observer.TurnFinished(waited, Now()-now)
+	}
+	return next
+}
+
+// deliverAll passes events to the core and clears them.
+func (l *Loop) deliverAll(events []event) {
+	for i := range events {
+		if l.observer != nil {
+			l.observer.EventArrived(events[i].arrivedAt)
 		}
+		l.deliver(&events[i])
+		events[i] = event{}
 	}
 }
 
@@ -304,6 +330,7 @@
 		l.sockets[s] = struct{}{}
 		l.core.Dialed(s.coreConn, nil)
 	case received:
+		s.deliveredBytes += int64(e.size)
 		if !s.closedForCore {
 			l.core.Received(s.coreConn, (*e.data)[:e.size])
 		}
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -18,10 +18,13 @@
 	if !ok {
 		return
 	}
+	l.reading.Store(s)
+	defer l.reading.Store(nil)
 	for reads := 1; ; reads++ {
 		buffer := l.buffers.Get().(*[]byte)
 		n, err := conn.Read(*buffer)
 		if n > 0 {
+			s.readBytes.Add(int64(n))
 			l.post(event{kind: received, socket: s, data: buffer, size: n})
 		} else {
 			l.buffers.Put(buffer)
