The count of bytes that the poller has posted is kept under the loop's lock

Cause: the count was an atomic field that the poller changed without an order that the race detector sees after the connection's creation on another goroutine (nbio orders them by the kernel's poll alone); TestEndToEndOverSockets of internal/platform failed under the race detector. Change: the count is raised in post, under the lock that is held there anyway.

--- a/internal/edge/catchup.go
+++ b/internal/edge/catchup.go
@@ -87,14 +87,21 @@
 		targets[s] = untilClosed
 		return true
 	}
-	read := s.readBytes.Load()
+	posted := l.postedBytes(s)
 	unread, err := unix.IoctlGetInt(int(descriptor.Fd), unix.SIOCINQ)
 	if err != nil {
 		return true
 	}
-	if l.reading.Load() == s || s.readBytes.Load() != read {
+	if l.reading.Load() == s || l.postedBytes(s) != posted {
 		return false
 	}
-	targets[s] = read + int64(unread)
+	targets[s] = posted + int64(unread)
 	return true
 }
+
+// postedBytes returns how many bytes the poller has read from a socket and posted.
+func (l *Loop) postedBytes(s *socket) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return s.postedBytes
+}
--- a/internal/edge/loop.go
+++ b/internal/edge/loop.go
@@ -101,7 +101,7 @@
 	transport      transport
 	sentBytes      int64 // used by the loop's goroutine only, and so is deliveredBytes
 	deliveredBytes int64
-	readBytes      atomic.Int64 // passed on by the poller
+	postedBytes    int64 // read by the poller; guarded by Loop.mu
 	writtenBytes   atomic.Int64
 	drainPending   atomic.Bool // a drained event has to be posted once all is written
 	closedForCore  bool        // the core gets no more events
@@ -202,6 +202,7 @@
 	l.mailbox = append(l.mailbox, e)
 	if e.data != nil {
 		l.mailboxBytes += l.limits.ReadBuffer // the memory held, not the bytes used of it
+		e.socket.postedBytes += int64(e.size)
 	}
 	l.mu.Unlock()
 	select {
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -24,7 +24,6 @@
 		buffer := l.buffers.Get().(*[]byte)
 		n, err := conn.Read(*buffer)
 		if n > 0 {
-			s.readBytes.Add(int64(n))
 			l.post(event{kind: received, socket: s, data: buffer, size: n})
 		} else {
 			l.buffers.Put(buffer)
