An end of a playback goes to any client's connection where none was served on

Cause: notifyConn took only connections on which a playback had been served; after 8 s the notice was dropped. Change: where nothing was served on any open connection, those on which a client has asked for something get it in turn, every 250 ms for 8 s at most. They do not count towards the four sends, as they may be of other clients.

--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -49,6 +49,8 @@
 	pendingSetups int       // set-ups that have not been answered
 	playing       int       // playing sessions that were set up here
 	hasServed     bool      // a set-up was answered with 200 here, or a playing session taken over
+	hasAsked      bool      // a request of a known kind was read here
+	hasNotices    bool      // a teardown was written here
 	closing       bool
 }
 
@@ -59,7 +61,7 @@
 	since     core.Time   // end of the playback
 	sentAt    core.Time   // time of the last send
 	conn      *viewerConn // connection used for the last send; nil if none
-	sendCount int
+	sendCount int         // sends on connections on which a playback was served; others may belong to a different client
 }
 
 func (m *Manager) acceptViewer(conn *core.Conn, _ string) {
@@ -197,7 +199,7 @@
 	if !msg.IsRequest() {
 		if i := slices.IndexFunc(m.teardowns, func(notice *teardownNotice) bool { return notice.id == id }); i >= 0 {
 			m.teardowns = slices.Delete(m.teardowns, i, i+1)
-		} else if !v.hasServed { // an answer without a request
+		} else if !v.hasServed && !v.hasNotices { // an answer without a request
 			m.rejectMalformed(v, msg)
 		}
 		return
@@ -206,6 +208,7 @@
 		m.rejectMalformed(v, msg)
 		return
 	}
+	v.hasAsked = v.hasAsked || msg.Method == rtsp.Options || msg.Method == rtsp.Setup
 	switch msg.Method {
 	case rtsp.Setup:
 		m.handleSetup(v, id, msg)
@@ -394,17 +397,24 @@
 }
 
 // notifyConn returns a connection on which a viewer can be notified: the preferred one or, because sessions are not bound
-// to connections, another on which a playback was served. Any other connection may belong to a different client.
-func (m *Manager) notifyConn(preferred, exclude *viewerConn) *viewerConn {
-	if preferred != nil && !preferred.closing && preferred != exclude {
-		return preferred
-	}
-	if m.lastServed != nil && m.lastServed != exclude {
-		return m.lastServed
+// to connections, another on which a playback was served. If there is none, any on which a client has asked for something
+// may be the viewer's. The previous one, which was used in vain, comes after others of its kind.
+func (m *Manager) notifyConn(preferred, previous *viewerConn) *viewerConn {
+	for _, viewer := range []*viewerConn{preferred, m.lastServed} {
+		if viewer != nil && !viewer.closing && viewer != previous {
+			return viewer
+		}
 	}
-	for _, other := range m.viewers {
-		if other.hasServed && !other.closing && other != exclude {
-			return other
+	next := slices.Index(m.viewers, previous) + 1
+	candidates := slices.Concat(m.viewers[next:], m.viewers[:next])
+	for _, suitable := range []func(*viewerConn) bool{
+		func(viewer *viewerConn) bool { return viewer.hasServed },
+		func(viewer *viewerConn) bool { return viewer.hasAsked },
+	} {
+		for _, viewer := range candidates {
+			if suitable(viewer) && !viewer.closing {
+				return viewer
+			}
 		}
 	}
 	return nil
@@ -426,10 +436,7 @@
 // resendTeardown sends a teardown again, on another connection if there is one.
 func (m *Manager) resendTeardown(notice *teardownNotice) {
 	viewer := m.notifyConn(nil, notice.conn)
-	if viewer == nil {
-		viewer = m.notifyConn(notice.conn, nil)
-	}
-	if notice.sendCount > 0 && viewer != nil {
+	if notice.sentAt > 0 && viewer != nil {
 		m.stats.Unheard++
 		m.trace("sending teardown of %s again", notice.id)
 	}
@@ -441,8 +448,10 @@
 		notice.conn = nil
 		return
 	}
-	notice.conn, notice.sentAt = viewer, m.now
-	notice.sendCount++
+	notice.conn, notice.sentAt, viewer.hasNotices = viewer, m.now, true
+	if viewer.hasServed {
+		notice.sendCount++
+	}
 	m.sendToViewer(viewer, rtsp.NewRequest(rtsp.Teardown, uriPrefix+notice.id, teardownCSeq).With("Session", notice.id).With("Reason", "cause="+strconv.Itoa(notice.cause)))
 }
 
@@ -452,7 +461,7 @@
 		return m.now-notice.since > endNoticeDeadline || notice.sendCount >= maxTeardownSends && m.now-notice.sentAt > teardownRetryInterval
 	})
 	for _, notice := range slices.Clone(m.teardowns) {
-		if notice.sendCount == 0 || m.now-notice.sentAt > teardownRetryInterval {
+		if notice.conn == nil || m.now-notice.sentAt > teardownRetryInterval {
 			m.resendTeardown(notice)
 		}
 	}
