A loop that is stopped right after its start stops

Cause: the poller of nbio 1.6.8 clears its engine's stop when its goroutine first runs; a stop that came earlier was lost, and its wake-up event kept the poller busy for ever. Change: Stop makes sure that the poller runs before it stops the engine: it has read something, or is given a connection to read.

--- a/internal/edge/lifecycle_test.go
+++ b/internal/edge/lifecycle_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -228,3 +229,27 @@
 		t.Errorf("connection with descriptors available again: %v", err)
 	}
 }
+
+// Guards against a stop that never ends: the poller clears its engine's stop when it starts, if that comes later. With one
+// processor the stop of a new loop comes first.
+func TestStopRightAfterStart(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	for range 20 {
+		stopped := make(chan error, 1)
+		go func() {
+			loop, err := edge.New("", func(core.Net) core.Core { return &dialCore{} })
+			if err == nil {
+				loop.Stop(true)
+			}
+			stopped <- err
+		}()
+		select {
+		case err := <-stopped:
+			if err != nil {
+				t.Fatal(err)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatal("the loop has not stopped")
+		}
+	}
+}
--- a/internal/edge/loop.go
+++ b/internal/edge/loop.go
@@ -62,6 +62,7 @@
 	clientTLS     *tls.Config            // for connections that the core dials; nil for the system's certificate authorities
 	sockets       map[*socket]struct{}   // open connections; used by the loop's goroutine only
 	observer      turnObserver           // the core, if it is one
+	pollerRuns    atomic.Bool            // the poller has read something
 	reading       atomic.Pointer[socket] // which the poller is reading, until what it has read is posted
 }
 
@@ -125,8 +126,11 @@
 	l.core = build(l)
 	l.observer, _ = l.core.(turnObserver)
 	l.engine.OnOpen(func(conn *nbio.Conn) {
-		if s, ok := conn.Session().(*socket); ok {
-			l.post(event{kind: dialed, socket: s, transport: conn})
+		switch session := conn.Session().(type) {
+		case *socket:
+			l.post(event{kind: dialed, socket: session, transport: conn})
+			return
+		case *startProbe:
 			return
 		}
 		s := &socket{transport: conn}
@@ -156,6 +160,7 @@
 	}
 	if addr != "" {
 		if err := l.Listen(addr, nil); err != nil {
+			l.awaitPoller()
 			l.engine.Stop()
 			return nil, err
 		}
@@ -240,6 +245,7 @@
 			_ = s.transport.Close()
 		}
 	}
+	l.awaitPoller()
 	l.engine.Stop()
 }
 
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -14,6 +14,11 @@
 // readConn reads a connection when the poller finds it readable, and posts what it reads. The poller closes a connection
 // once its peer has, whatever is unread by then, so one that the peer has closed is read to its end at once.
 func (l *Loop) readConn(conn *nbio.Conn) {
+	l.pollerRuns.Store(true)
+	if probe, ok := conn.Session().(*startProbe); ok {
+		probe.handleRead(conn)
+		return
+	}
 	s, ok := conn.Session().(*socket)
 	if !ok {
 		return
