A connection rejected for want of a descriptor is counted before its client sees the close

"no descriptor left: <nil>", once each: the first request's connection was not closed yet on the front's side when the test took all descriptors, and gave one back. Change: the count comes first; the test waits until that connection is closed before it takes the descriptors, and asks the same as before.

--- a/internal/edge/lifecycle_test.go
+++ b/internal/edge/lifecycle_test.go
@@ -179,6 +179,7 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
+	awaitConnections(t, p, 2, 1) // the first one's descriptor must not become free once all are taken
 	entries, err := os.ReadDir("/proc/self/fd")
 	if err != nil {
 		t.Skip(err)
@@ -230,6 +231,18 @@
 	}
 }
 
+// awaitConnections waits until the front has accepted so many connections and so many of them are open.
+func awaitConnections(t *testing.T, p *process, wantAccepted, wantOpen int64) {
+	t.Helper()
+	accepted, open := int64(0), int64(0)
+	for end := time.Now().Add(10 * time.Second); accepted != wantAccepted || open != wantOpen; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the front has accepted %d connections, and %d are open, want %d and %d", accepted, open, wantAccepted, wantOpen)
+		}
+		p.loop.Do(func() { accepted, open = int64(p.front.Figures.Accepted), int64(p.front.Figures.Connections) })
+	}
+}
+
 // Guards against a stop that never ends: the poller clears its engine's stop when it starts, if that comes later. With one
 // processor the stop of a new loop comes first.
 func TestStopRightAfterStart(t *testing.T) {
--- a/internal/edge/listener.go
+++ b/internal/edge/listener.go
@@ -142,9 +142,9 @@
 		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
 			_ = reserve.Close()
 			if c, err := entry.ln.AcceptTCP(); err == nil {
+				l.descriptorRejects.Add(1) // before the client can see the close
 				_ = c.SetLinger(0)
 				_ = c.Close()
-				l.descriptorRejects.Add(1)
 			}
 			reserve, _ = os.Open(os.DevNull)
 			time.Sleep(acceptRetryDelay)
