--- a/internal/kept/kept_test.go
+++ b/internal/kept/kept_test.go
@@ -1,6 +1,7 @@
 package kept
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -66,6 +67,13 @@
 	}
 }
 
+// lastRecordsWritten reports whether the journal of TestJournal's process holds its last records: r2999 is open, and r2992
+// has ended, so that it is named twice, or not at all once the journal has been compacted.
+func lastRecordsWritten(path string) bool {
+	text, err := os.ReadFile(path)
+	return err == nil && bytes.Contains(text, []byte(`"r2999"`)) && bytes.Count(text, []byte(`"r2992"`)) != 1
+}
+
 // The journal of a killed process yields what it had open; that of a running process is left alone; corrupt lines are
 // skipped; the file is compacted, and removed when nothing is open. The test runs itself as the process to kill.
 func TestJournal(t *testing.T) {
@@ -86,7 +94,9 @@
 				time.Sleep(2 * batchInterval)
 			}
 		}
-		time.Sleep(5 * batchInterval)
+		for !lastRecordsWritten(j.path) {
+			time.Sleep(batchInterval)
+		}
 		fmt.Println("written")
 		time.Sleep(time.Hour)
 	}
