The stand-in directory's password is changed under its lock

Cause: TestSecretsNotLogged changed the exported field while a connection of the stand-in read it. Change: SetPassword and a read under the server's lock; the tests use it and check the same.

--- a/internal/standin/directory/server.go
+++ b/internal/standin/directory/server.go
@@ -49,12 +49,12 @@
 	listener net.Listener
 	mu       sync.Mutex
 	faults   Faults
+	password string // required of every bind except anonymous ones
 	conns    map[net.Conn]struct{}
 	pages    map[string][]*Entry // remaining entries by cookie of a paged search
 	lastPage int
 	handlers sync.WaitGroup
 	Searches atomic.Int64 // search requests received
-	Password string       // required of every bind except anonymous ones
 }
 
 // Serve starts a server for a store on a TCP address.
@@ -99,6 +99,19 @@
 	s.faults = faults
 }
 
+// SetPassword replaces the password that is required of every bind except anonymous ones.
+func (s *Server) SetPassword(password string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.password = password
+}
+
+func (s *Server) requiredPassword() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.password
+}
+
 func (s *Server) currentFaults() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -161,7 +174,7 @@
 			code := codeSuccess
 			if len(op.Children) < 3 {
 				code = codeProtocolError
-			} else if name, _ := op.Children[1].Value.(string); name != "" && op.Children[2].Data.String() != s.Password {
+			} else if name, _ := op.Children[1].Value.(string); name != "" && op.Children[2].Data.String() != s.requiredPassword() {
 				code = codeInvalidCredentials
 			}
 			conn.send(id, newResult(tagBindResponse, code), nil)
--- a/internal/tenants/client/client_test.go
+++ b/internal/tenants/client/client_test.go
@@ -156,7 +156,7 @@
 		t.Fatal(err)
 	}
 	defer server.Stop()
-	server.Password = "pass"
+	server.SetPassword("pass")
 	for _, paged := range []bool{false, true} {
 		server.SetFaults(directory.Faults{NoSync: paged})
 		terms := tenants.Config{MaxAge: 3e6, SyncInterval: 300_000, Timeout: 200_000, NegativeTTL: 1e6, MaxWaiting: 10, MaxLookups: 2}
@@ -340,13 +340,13 @@
 		t.Fatal(err)
 	}
 	defer server.Stop()
-	server.Password = "another"
+	server.SetPassword("another")
 	logged, logs := observer.New(zap.DebugLevel)
 	terms := tenants.Config{MaxAge: 3e6, SyncInterval: 100_000, Timeout: 200_000, MaxWaiting: 10, MaxLookups: 1}
 	config := Config{Endpoints: []string{server.Addr()}, Base: "dc=pier", BindDN: "cn=me", Password: password, PageSize: 2, Core: terms}
 	o := newOwnerLogged(t, config, zap.New(logged))
 	o.until(t, "timed out waiting for refused binds", func(c *tenants.Core) bool { return c.Counts.Broken > 1 })
-	server.Password = password
+	server.SetPassword(password)
 	o.until(t, "timed out waiting for a view", func(c *tenants.Core) bool {
 		complete, _, _ := c.Status()
 		return complete && o.client.Unreadable.Load() > 0
