--- a/review/stand-2/notes.go
+++ b/review/stand-2/notes.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { cases[9] = notesLate }
+func init() { cases[10] = notesLate }
 
 // notesLate: the notes on links come later than usual for a while, and nothing else happens. No session may be released to
 // its viewer while it stands at its video server.
--- a/review/stand-2/pause.go
+++ b/review/stand-2/pause.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-func init() { cases[8] = pauseAtEnd }
+func init() { cases[9] = pauseAtEnd }
 
 // shortBox is a media box as docs/wire.md describes it. Its titles end after a time, by RTCP BYE.
 type shortBox struct {
--- a/review/stand-2/stop.go
+++ b/review/stand-2/stop.go
@@ -12,7 +12,7 @@
 	"pierlink/internal/standin/directory"
 )
 
-func init() { cases[7] = stopWhileDirectoryStalls }
+func init() { cases[8] = stopWhileDirectoryStalls }
 
 // stallingProxy stands before a directory. While it stalls, connections stay open and nothing passes.
 type stallingProxy struct {
