--- a/review/stand-2/daemon.go
+++ b/review/stand-2/daemon.go
@@ -146,6 +146,29 @@
 	return os.WriteFile(s.settingsFile, []byte(text+s.moreSettings), 0o600)
 }
 
+// serveSecond starts the second session manager of a site whose settings say fronts = 2, at an address of its own.
+func (s *site) serveSecond() error {
+	listen, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	text, err := os.ReadFile(s.settingsFile)
+	if err != nil {
+		return err
+	}
+	second := strings.NewReplacer(s.listen, listen, "pierlink/front-0", "pierlink/front-1", "front = 0 ", "front = 1 ", "pierlink.sock", "second.sock").Replace(string(text))
+	file := filepath.Join(s.dir, "second.toml")
+	if err := os.WriteFile(file, []byte(second), 0o600); err != nil {
+		return err
+	}
+	p, err := s.start("manager-2", "bin/pierlink", "serve", "-c", file)
+	if err != nil {
+		return err
+	}
+	_, err = p.awaitLog(`"msg":"ready"`, 10*time.Second)
+	return err
+}
+
 // writeServers replaces the server list: addresses of the boxes in their order, and which of them drain.
 func (s *site) writeServers(addrs []string, draining ...int) error {
 	var b strings.Builder
--- a/review/stand-2/pause.go
+++ b/review/stand-2/pause.go
@@ -75,7 +75,7 @@
 }
 
 // pauseAtEnd: a viewer asks for the next part of a lesson on the connection on which the part before plays, at the time at
-// which that one ends. The session manager stands still meanwhile. Each request has to get one answer.
+// which that one ends. One of two session managers, the one asked, stands still meanwhile. Each request has to get one answer.
 func pauseAtEnd(recordPath string, trouble bool) (bool, *world, error) {
 	const (
 		length = 4 * time.Second         // of a part
@@ -96,7 +96,7 @@
 		(&shortBox{s: s, name: fmt.Sprintf("box-%d", i+1), length: length}).serve(ln)
 		boxes = append(boxes, ln.Addr().String())
 	}
-	if err := s.writeSettings(); err != nil {
+	if err := s.writeSettings("fronts = 1 ", "fronts = 2 "); err != nil {
 		return false, s.world, err
 	}
 	if err := s.writeServers(boxes); err != nil {
@@ -106,6 +106,9 @@
 	if err != nil {
 		return false, s.world, err
 	}
+	if err := s.serveSecond(); err != nil {
+		return false, s.world, err
+	}
 	lost := 0
 	for round := range rounds {
 		p, err := s.play(fmt.Sprintf("viewer-%d", round+1), "recorded-lesson", fmt.Sprintf("lesson%d-part1", round+1), "")
