Playbacks that clients hand over are bounded by the memory

Some 118 bad clients with 300 set-ups with `at` each take a session manager over its 32 MB, and it is killed. Cause: a hand-over becomes a playback without its server being asked, and nothing bounded their number; each also kept the text of its whole head in memory, as its id and title were parts of it. Change: playbacks may take a quarter of the memory, half of that handed over and not mentioned by their servers (handover.go); above it a hand-over displaces one of a client that has left or handed over more. Ids and titles are copied. The same cause: set-ups that wait are bounded in number; notices of made-up sessions displace no others; a hand-over is no word of a server.

--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -26,6 +26,11 @@
 	bufferedMemoryDivisor = 8  // 1/8 of the memory is for incomplete messages and descriptions of waiting set-ups
 	networkMarginDivisor  = 64 // 1/64 of a viewer's answer time is reserved for network transit
 
+	playbackBytes         = 1 << 10 // memory of one playback in all tables, with its timer and its place in the module
+	playbackMemoryDivisor = 4       // 1/4 of the memory is for playbacks
+	unconfirmedDivisor    = 2       // at most 1/2 of the playbacks may be handed over and not confirmed by their servers
+	maxUnknownNotices     = 1024    // unacknowledged teardowns of sessions that no server has confirmed
+
 	maxUnreadBytes    = 4 * boxes.MaxMessageSize // unsent bytes per viewer connection before it is closed
 	maxQueuedMessages = 1024                     // messages per server that wait for a connection
 )
@@ -81,6 +86,11 @@
 	return min(config.Sockets/viewerSocketsDivisor, config.Sockets-config.Sockets/serverSocketsDivisor-MaxArriving(config)-reservedDescriptors)
 }
 
+// maxPlaybacks returns how many playbacks may be pending or playing at a time.
+func maxPlaybacks(config *Config) int {
+	return int(config.MemoryBytes / playbackMemoryDivisor / playbackBytes)
+}
+
 // serverConnLimit returns how many connections one server may have while the given number of servers is ready.
 func serverConnLimit(config *Config, ready int) int {
 	return min(max(config.Sockets/serverSocketsDivisor/max(ready, 1), 1), maxConnsPerServer)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,6 +5,7 @@
 package platform
 
 import (
+	"container/list"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
@@ -23,13 +24,16 @@
 // Taken counts set-ups passed to the module, Served those answered with 200, Refused with 503, Failed with 500 and
 // Left those given up by the viewer; Bad counts protocol errors of viewers. Tries counts set-up tries by outcome.
 // Over counts playbacks that ended, Cut those that ended by a fault, Spoilt unreadable server connections, and Unheard
-// retransmitted teardowns. Open and Standing are playbacks being set up and playing, Links connections to servers, and
-// Position is the offset of the last bus event.
+// retransmitted teardowns. HandoversRefused counts playbacks handed over that were ended for want of memory. Open and
+// Standing are playbacks being set up and playing, Unconfirmed those of the latter that were handed over and that their
+// servers have not mentioned, Links connections to servers, and Position is the offset of the last bus event.
 type Stats struct {
 	Taken, Served, Refused, Failed, Left, Bad       int
 	Tries                                           [session.NotSent + 1]int
 	Probes, Over, Cut, Moved, Spoilt, Unheard       int
+	HandoversRefused                                int
 	Viewers, Links, Open, Standing, Servers, Titles int
+	Unconfirmed                                     int
 	Position                                        uint64
 	BusUp                                           bool
 	Longest                                         core.Time // longest turn since the previous call of Stats
@@ -59,11 +63,14 @@
 	titles        map[uint64]*titleEntry // by title ID
 	freeTitles    []int                  // title numbers free for reuse
 	bufferedBytes int                    // session descriptions and incomplete messages held in memory
+	handovers     handoverTable          // playbacks that no server has confirmed
 
 	viewers    []*viewerConn
 	lastServed *viewerConn       // the connection on which a playback was served last
 	teardowns  []*teardownNotice // end notices that a viewer has not acknowledged
 
+	unknownNotices int // of teardowns: those of sessions that no server has confirmed
+
 	servers           map[uint32]*server // by server ID
 	serverByIndex     []*server          // indexed by the module's server numbers
 	freeServerIndexes []int              // unused entries of serverByIndex
@@ -100,7 +107,8 @@
 	try, rung                       int
 	phaseSince                      core.Time // start of the current try or of the playing
 	timer                           *core.Timer
-	moving, endedByServer           bool // endedByServer: the server ended the try, so there is nothing to withdraw
+	moving, endedByServer           bool          // endedByServer: the server ended the try, so there is nothing to withdraw
+	unconfirmed                     *list.Element // its entry in the table of hand-overs; nil unless it was handed over and its server has not mentioned it
 }
 
 // New returns a session manager that uses the given network. The decision module is created by newModule with the
@@ -127,6 +135,7 @@
 func (m *Manager) Stats() Stats {
 	stats := m.stats
 	stats.Viewers, stats.Links, stats.Servers, stats.Titles = len(m.viewers), m.serverConnCount, len(m.servers), len(m.titles)
+	stats.Unconfirmed = m.handovers.count
 	stats.Position, stats.BusUp = m.bus.reader.LastOffset, m.bus.up
 	stats.Open, stats.Standing = 0, 0
 	for _, pb := range m.playbacks {
@@ -365,11 +374,17 @@
 // markPlaying records a playback as playing at its server and on its viewer's connection.
 func (m *Manager) markPlaying(pb *playback) {
 	pb.phase, pb.phaseSince = phasePlaying, m.now
+	if len(pb.server.playing) == 0 { // a client that hands over sessions is no sign of their server
+		pb.server.lastPlaybackMessageAt = m.now
+	}
 	pb.server.playing[pb] = struct{}{}
-	pb.server.lastPlaybackMessageAt = m.now
-	pb.viewer.hasServed = true
 	pb.viewer.playing++
-	m.lastServed = pb.viewer
+}
+
+// markServed records that a viewer has been served on a connection.
+func (m *Manager) markServed(viewer *viewerConn) {
+	viewer.hasServed = true
+	m.lastServed = viewer
 }
 
 // unmarkPlaying reverts markPlaying; it does nothing for a playback that is not playing.
@@ -377,6 +392,7 @@
 	if pb.phase != phasePlaying {
 		return
 	}
+	m.handovers.remove(pb)
 	delete(pb.server.playing, pb)
 	if pb.viewer != nil {
 		pb.viewer.playing--
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -314,6 +314,7 @@
 		return // already ended, of another manager, or the answer to an earlier try
 	}
 	srv.lastPlaybackMessageAt = m.now
+	m.confirmHandover(pb)
 	switch msg.Op {
 	case boxes.Accept:
 		if pb.phase != phaseTrying || !pb.offerSent || msg.Description == "" {
@@ -338,6 +339,7 @@
 	pb.viewer.pendingSetups--
 	took := m.now - pb.phaseSince
 	m.markPlaying(pb)
+	m.markServed(pb.viewer)
 	for _, notice := range slices.Clone(m.teardowns) {
 		if notice.sendCount == 0 {
 			m.resendTeardown(notice)
--- a/internal/platform/teardowns.go
+++ b/internal/platform/teardowns.go
@@ -16,6 +16,7 @@
 	sentAt    core.Time   // time of the last send
 	conn      *viewerConn // connection used for the last send; nil if none
 	sendCount int         // sends on connections on which a playback was served; others may belong to a different client
+	unknown   bool        // no server has confirmed that the session played
 }
 
 // notifyConn returns a connection on which a viewer can be notified: the preferred one or, because sessions are not bound
@@ -44,9 +45,38 @@
 
 // notifyEnded sends a viewer the end of its playback.
 func (m *Manager) notifyEnded(viewer *viewerConn, id string, cause int) {
-	notice := &teardownNotice{id: id, cause: cause, since: m.now, conn: viewer}
+	m.sendNotice(&teardownNotice{id: id, cause: cause, since: m.now, conn: viewer}, viewer)
+}
+
+// notifyUnknownEnded sends a client the end of a playback that it handed over and that no server has confirmed. As any
+// client can name such sessions, they may displace no other notices: of those above their limit each is sent once, on the
+// client's connection.
+func (m *Manager) notifyUnknownEnded(viewer *viewerConn, id string) {
+	notice := &teardownNotice{id: id, cause: causeReset, since: m.now, conn: viewer, unknown: true}
+	if m.unknownNotices < maxUnknownNotices {
+		m.unknownNotices++
+		m.sendNotice(notice, viewer)
+	} else if viewer != nil && !viewer.closing {
+		m.writeTeardown(notice, viewer)
+	}
+}
+
+// removeNotices removes the notices that match selects.
+func (m *Manager) removeNotices(match func(*teardownNotice) bool) {
+	m.teardowns = slices.DeleteFunc(m.teardowns, func(notice *teardownNotice) bool {
+		removed := match(notice)
+		if removed && notice.unknown {
+			m.unknownNotices--
+		}
+		return removed
+	})
+}
+
+// sendNotice sends a teardown, on the given connection if that is open, and keeps it until it is acknowledged.
+func (m *Manager) sendNotice(notice *teardownNotice, viewer *viewerConn) {
 	if len(m.teardowns) > maxTeardowns(len(m.byNumber)) { // more than the peak number of playbacks explains: drop the oldest
-		m.teardowns = slices.Delete(m.teardowns, 0, 1)
+		oldest := m.teardowns[0]
+		m.removeNotices(func(other *teardownNotice) bool { return other == oldest })
 	}
 	m.teardowns = append(m.teardowns, notice)
 	if viewer == nil || viewer.closing {
@@ -79,7 +109,7 @@
 
 // retryTeardowns repeats unanswered teardowns and drops those whose deadline or send limit is reached.
 func (m *Manager) retryTeardowns() {
-	m.teardowns = slices.DeleteFunc(m.teardowns, func(notice *teardownNotice) bool {
+	m.removeNotices(func(notice *teardownNotice) bool {
 		return m.now-notice.since > endNoticeDeadline || notice.sendCount >= maxTeardownSends && m.now-notice.sentAt > teardownRetryInterval
 	})
 	for _, notice := range slices.Clone(m.teardowns) {
--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"errors"
 	"slices"
 	"strconv"
@@ -10,7 +11,6 @@
 
 	"pierlink/internal/core"
 	"pierlink/internal/platform/boxes"
-	"pierlink/internal/platform/feed"
 	"pierlink/internal/rtsp"
 	"pierlink/session"
 )
@@ -48,7 +48,8 @@
 	bufferedBytes int       // bytes of the incomplete message
 	pendingSetups int       // set-ups that have not been answered
 	playing       int       // playing sessions that were set up here
-	hasServed     bool      // a set-up was answered with 200 here, or a playing session taken over
+	unconfirmed   list.List // of *playback: handed over here, and not mentioned by their servers yet
+	hasServed     bool      // a set-up was answered with 200 here, or a playing session taken over and confirmed by its server
 	hasAsked      bool      // a request of a known kind was read here
 	hasNotices    bool      // a teardown was written here
 	closing       bool
@@ -104,7 +105,8 @@
 			m.resendTeardown(notice)
 		}
 	}
-	if viewer.pendingSetups > 0 || viewer.hasServed {
+	m.handovers.connClosed(viewer)
+	if viewer.pendingSetups > 0 || viewer.playing > 0 {
 		for _, pb := range m.playbacks {
 			if pb.viewer != viewer {
 				continue
@@ -188,7 +190,8 @@
 	m.trace("from viewer %s %s %d %s %v %q", id, msg.Method, msg.Status, msg.URI, msg.Header, msg.Body)
 	if !msg.IsRequest() {
 		if i := slices.IndexFunc(m.teardowns, func(notice *teardownNotice) bool { return notice.id == id }); i >= 0 {
-			m.teardowns = slices.Delete(m.teardowns, i, i+1)
+			acknowledged := m.teardowns[i]
+			m.removeNotices(func(notice *teardownNotice) bool { return notice == acknowledged })
 		} else if !v.hasServed && !v.hasNotices { // an answer without a request
 			m.rejectMalformed(v, msg)
 		}
@@ -241,11 +244,12 @@
 // names its server.
 func (m *Manager) parseSetup(id string, msg *rtsp.Message) (pb *playback, serverName string, ok bool) {
 	settings := m.config.Settings
-	pb = &playback{id: id, titleKey: strings.TrimPrefix(msg.URI, uriPrefix), plan: msg.Get("Call-Kind"), description: string(msg.Body), try: -1}
+	pb = &playback{id: strings.Clone(id), titleKey: strings.Clone(strings.TrimPrefix(msg.URI, uriPrefix)), description: string(msg.Body), try: -1} // copies, as parts of a message keep all of it in memory
 	request := &pb.request
-	if request.Plan = slices.Index(settings.Plans, pb.plan); request.Plan < 0 || !boxes.ValidID(pb.titleKey) || pb.description == "" || !utf8.ValidString(pb.description) {
+	if request.Plan = slices.Index(settings.Plans, msg.Get("Call-Kind")); request.Plan < 0 || !boxes.ValidID(pb.titleKey) || pb.description == "" || !utf8.ValidString(pb.description) {
 		return nil, "", false
 	}
+	pb.plan = settings.Plans[request.Plan]
 	if len(settings.Tenants) > 0 {
 		if request.Tenant = slices.Index(settings.Tenants, msg.Get("Charged-Party")); request.Tenant < 0 {
 			return nil, "", false
@@ -298,7 +302,7 @@
 		m.rejectMalformed(viewer, msg)
 		return
 	}
-	if m.stoppingSince > 0 || int64(m.bufferedBytes+len(pb.description)) > m.config.MemoryBytes/bufferedMemoryDivisor {
+	if m.stoppingSince > 0 || len(m.playbacks) >= maxPlaybacks(m.config) || int64(m.bufferedBytes+len(pb.description)) > m.config.MemoryBytes/bufferedMemoryDivisor {
 		m.stats.Refused++
 		reply := rtsp.NewResponse(rtsp.StatusUnavailable, setupCSeq).With("Session", id)
 		if retryAfter := m.config.Settings.Site.Terms.MaxRetryAfter; retryAfter > 0 {
@@ -314,26 +318,6 @@
 	m.module.Requested(pb.request)
 }
 
-// adoptPlaying takes over a playback that plays already.
-func (m *Manager) adoptPlaying(viewer *viewerConn, pb *playback, serverName string) {
-	if m.playbacks[pb.id] != nil {
-		return
-	}
-	serverID, err := feed.ParseServerID(serverName)
-	srv := m.servers[serverID]
-	if err != nil || srv == nil || srv.state == session.Gone || m.finalized {
-		m.notifyEnded(viewer, pb.id, causeReset)
-		return
-	}
-	pb.viewer, pb.description, pb.try, pb.server = viewer, "", 0, srv
-	m.register(pb)
-	m.markPlaying(pb)
-	m.module.Opened(pb.request, srv.index)
-	if len(srv.conns) == 0 {
-		m.dial(srv)
-	}
-}
-
 func (m *Manager) handleTeardown(viewer *viewerConn, id string, msg *rtsp.Message) {
 	cause, hasReason := parseReason(msg.Get("Reason"))
 	pb := m.playbacks[id]
