Figures by rack and title take the same time whatever a report says

One player reports a startup of 1.8e9 s; two seconds after it has left the daemon answers nobody. Cause: Collector.Report took any duration that is not negative, and splitByBucket walked from the end of the playback to a start decades later, bucket by bucket, on the goroutine of the event loop. Change: the walk is over the buckets kept alone. A duration that exceeds what the playback has lasted by more than a bucket is counted as `clock set` and not used; less is cut, as is a stall that would outlast its report. The other loops from one time to another (meter, fair, tenants) were read: each skips what is older than it keeps.

--- a/internal/quality/quality.go
+++ b/internal/quality/quality.go
@@ -77,7 +77,7 @@
 
 // Counts counts reports by outcome, and closed playbacks.
 type Counts struct {
-	Reports, Duplicates, Late, Strange, Clocks int64 // Clocks: with an impossible time of the player
+	Reports, Duplicates, Late, Strange, Clocks int64 // Clocks: with an impossible time or duration by the player's clock
 	Closed, Early                              int64 // playbacks; Early: closed early or not recorded, for lack of space
 }
 
@@ -268,6 +268,16 @@
 		c.Counts.Duplicates++
 		return
 	}
+	latest := c.now // by then all that the report tells of is over
+	if record.endedAt > 0 {
+		latest = min(latest, record.endedAt)
+	}
+	possible := latest - record.requestedAt
+	if report.Duration > possible+c.BucketWidth { // whatever the player meant, it did not measure this
+		c.Counts.Clocks++
+		return
+	}
+	report.Duration = min(report.Duration, possible)
 	// The player's clock may be an hour off, so only the age of the event by that clock is used. An event before the
 	// playback or in the future means that the clock was set between the event and the report.
 	age := report.SentAt - report.OccurredAt
@@ -281,7 +291,7 @@
 	case StartupReport:
 		record.reportedStartup = report.Duration
 	case StallReport:
-		record.addStall(interval{occurredAt, occurredAt + report.Duration})
+		record.addStall(interval{occurredAt, min(occurredAt+report.Duration, latest)})
 	case RungReport:
 		if len(record.reportedRungs) < maxChanges {
 			record.reportedRungs = append(record.reportedRungs, change{occurredAt, report.Rung})
@@ -393,8 +403,15 @@
 	}
 }
 
-// splitByBucket calls visit for each bucket that an interval overlaps, with the seconds in that bucket.
+// oldestKept returns the start of the oldest bucket that is kept.
+func (c *Collector) oldestKept() Time {
+	return (c.now/c.BucketWidth - Time(c.BucketCount) + 1) * c.BucketWidth
+}
+
+// splitByBucket calls visit for each bucket kept that an interval overlaps, with the seconds in that bucket. However long
+// the interval is, there are no more of them than buckets.
 func (c *Collector) splitByBucket(from, to Time, visit func(at Time, seconds float64)) {
+	from, to = max(from, c.oldestKept()), min(to, (c.now/c.BucketWidth+1)*c.BucketWidth)
 	for from < to {
 		bucketEnd := min((from/c.BucketWidth+1)*c.BucketWidth, to)
 		visit(from, float64(bucketEnd-from)/1e6)
@@ -500,7 +517,7 @@
 		s.advance(c.now / c.BucketWidth)
 		all[group] = s.sum(s.buckets)
 	}
-	oldest := (c.now/c.BucketWidth - Time(c.BucketCount) + 1) * c.BucketWidth
+	oldest := c.oldestKept()
 	add := func(group Group, figures *Totals) {
 		total := all[group]
 		total.add(figures)
--- a/internal/quality/quality_test.go
+++ b/internal/quality/quality_test.go
@@ -92,3 +92,58 @@
 		t.Error("with no revenue due the loss is not the share of time stalled")
 	}
 }
+
+// Guards against a hang: a report of a duration of decades, or a playback of years, made the loop over its buckets run for
+// minutes. What is credited is no longer than the playback.
+func TestImpossibleDurations(t *testing.T) {
+	const day = 86400 * second
+	for _, kind := range []int{StartupReport, StallReport} {
+		for _, duration := range []Time{math.MaxInt64, 56 * 365 * day, day, 51 * second, 33 * second} {
+			base := 1000 * second
+			collector := New(testConfig(), base)
+			collector.Begin("s", 0, "t", base)
+			collector.Playing("s", 0, 1, base+second/2)
+			collector.Advance(base + 30*second)
+			collector.Report("s", Report{Seq: 1, Type: kind, SentAt: base, OccurredAt: base, Duration: duration})
+			collector.Advance(base + 40*second)
+			checkPossible(t, collector, 40)
+			collector.End("s", base+40*second)
+			collector.Report("s", Report{Seq: 2, Type: kind, SentAt: base, OccurredAt: base, Duration: duration})
+			collector.Advance(base + 60*second)
+			checkPossible(t, collector, 40)
+			collector.Evaluate(func(Alarm) {})
+			checkPossible(t, collector, 40)
+			if refused := duration > 50*second; refused != (collector.Counts.Clocks == 2) {
+				t.Errorf("a report of %d s: %+v", duration/second, collector.Counts)
+			}
+		}
+	}
+}
+
+// checkPossible checks that no more is credited to the playback's title and rack than the seconds that it has lasted.
+func checkPossible(t *testing.T, collector *Collector, seconds float64) {
+	t.Helper()
+	for group, sum := range collector.Totals() {
+		if limit := 2 * seconds; sum.Watched > limit || sum.Stalled > sum.Watched || sum.Watched < 0 || sum.Worth > limit {
+			t.Errorf("%+v: impossible figures %+v", group, sum)
+		}
+	}
+}
+
+// A playback of many years is credited within the buckets kept, and takes no longer than a short one.
+func TestLongPlayback(t *testing.T) {
+	const years = 1000 * 365 * 86400 * second
+	collector := New(testConfig(), second)
+	collector.Begin("s", 0, "t", second)
+	collector.Playing("s", 0, 1, second)
+	collector.Advance(years)
+	if sum := collector.Totals()[Group{Kind: Rack}]; sum.Watched < 2*150 || sum.Watched > 2*160 {
+		t.Errorf("open: %+v", sum)
+	}
+	collector.End("s", years)
+	collector.Advance(years + 20*second)
+	collector.Evaluate(func(Alarm) {})
+	if sum := collector.Totals()[Group{Kind: Rack}]; sum.Watched < 2*130 || sum.Watched > 2*140 || collector.OpenCount() > 0 {
+		t.Errorf("closed: %+v", sum)
+	}
+}
