A turn of the event loop that takes over a second is logged with what it is about

The daemon hung with nothing in its log; the platform's line said that a turn does not end, and not why. Change: the loop tells what its turn is doing, and a goroutine beside it reports a turn of over a second once, while it runs, with its activity and the peer whose event it handles; the daemon and the platform log it as `event loop is busy`. The platform's line came after two seconds before. An accepted connection keeps its remote address, which the event had held. Measured: TestSlowTurnIsReported, also under the race detector; tests of cmd/pierlink and internal/edge pass.

--- a/cmd/pierlink/platform.go
+++ b/cmd/pierlink/platform.go
@@ -20,7 +20,7 @@
 const (
 	readBufferSize     = 4 << 10         // bytes; a message has at most 16 KiB
 	inboxMemoryDivisor = 8               // 1/8 of the memory is for received data that has not been processed
-	turnWarning        = 2 * time.Second // a turn of the event loop that takes longer is reported
+	statsTimeout       = 2 * time.Second // wait for the figures of a busy loop
 	heapMemoryShare    = 0.6             // share of the memory set as the Go runtime's soft limit, above which it collects more often
 )
 
@@ -47,11 +47,11 @@
 	return config, nil
 }
 
-// logStats logs the counters of the session manager and the memory in use, or that a turn of its loop does not end.
+// logStats logs the counters of the session manager and the memory in use. It skips them if a turn does not end, which
+// watchTurns reports.
 func logStats(log *zap.Logger, loop *edge.Loop, manager *platform.Manager) {
 	stats := make(chan platform.Stats, 1)
-	if !loop.DoWithin(turnWarning, func() { stats <- manager.Stats() }) {
-		log.Error("event loop is busy: a turn has not ended", zap.Duration("waited", turnWarning))
+	if !loop.DoWithin(statsTimeout, func() { stats <- manager.Stats() }) {
 		return
 	}
 	var mem runtime.MemStats
@@ -94,6 +94,7 @@
 	if err != nil {
 		return err
 	}
+	watchTurns(loop, log)
 	if err := loop.Listen(config.Listen, nil); err != nil {
 		return fmt.Errorf("GW_LISTEN: %w", err)
 	}
--- a/cmd/pierlink/serve.go
+++ b/cmd/pierlink/serve.go
@@ -151,6 +151,7 @@
 		return err
 	}
 	defer p.loop.Stop(false)
+	watchTurns(p.loop, p.log)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer p.registration.Wait()
 	defer cancel()
--- a/internal/edge/loop.go
+++ b/internal/edge/loop.go
@@ -43,6 +43,7 @@
 	engine *nbio.Engine
 	limits Limits
 	counters
+	progress turnProgress
 
 	mu            sync.Mutex
 	listeners     []*listener
@@ -78,7 +79,6 @@
 	data       *[]byte // a buffer of the pool
 	size       int     // bytes used in data
 	err        error
-	remoteAddr string    // of an accepted connection
 	call       func()    // of a called event
 	arrivedAt  core.Time // when the event was posted
 }
@@ -107,6 +107,7 @@
 	closedForCore  bool        // the core gets no more events
 	closedEarly    bool        // closed by the core before it was connected
 	cancel         func()      // cancels the dial; nil if it was accepted
+	remoteAddr     string      // of an accepted connection
 }
 
 // New starts a loop with the default limits that listens on an address, or nowhere if it is empty. build returns the
@@ -135,8 +136,9 @@
 		s := &socket{transport: conn}
 		s.coreConn = &s.conn
 		s.coreConn.Socket = s
+		s.remoteAddr = conn.RemoteAddr().String()
 		conn.SetSession(s)
-		l.post(event{kind: accepted, socket: s, remoteAddr: conn.RemoteAddr().String()})
+		l.post(event{kind: accepted, socket: s})
 	})
 	l.engine.OnRead(l.readConn)
 	l.engine.OnWrittenSize(func(conn *nbio.Conn, _ []byte, n int) {
@@ -284,6 +286,8 @@
 
 // turn runs a turn that begins at a time and was due at another one. It returns when the next turn is due.
 func (l *Loop) turn(now, due core.Time, events []event) core.Time {
+	l.progress.begin(now)
+	defer l.progress.end()
 	l.core.BeginTurn(now)
 	waited := core.Time(0)
 	if len(events) > 0 {
@@ -293,6 +297,7 @@
 	if due > 0 && max(now-due, waited, Now()-now) > lateTurn {
 		l.catchUp()
 	}
+	l.progress.handle(endingTurn, nil)
 	next := l.core.EndTurn()
 	if l.observer != nil {
 		l.observer.TurnFinished(waited, Now()-now)
@@ -313,13 +318,14 @@
 
 func (l *Loop) deliver(e *event) {
 	s := e.socket
+	l.progress.handle(e.kind, s)
 	switch e.kind {
 	case called:
 		e.call()
 		return
 	case accepted:
 		l.sockets[s] = struct{}{}
-		l.core.Accepted(s.coreConn, e.remoteAddr)
+		l.core.Accepted(s.coreConn, s.remoteAddr)
 	case dialed:
 		if s.closedEarly {
 			if e.transport != nil {
--- a/internal/edge/secure.go
+++ b/internal/edge/secure.go
@@ -47,7 +47,8 @@
 	s.conn.Socket, s.conn.Secure = s, true
 	x := l.newTLSConn(s, raw, tls.Server(raw, config))
 	s.transport = x
-	l.post(event{kind: accepted, socket: s, remoteAddr: raw.RemoteAddr().String()})
+	s.remoteAddr = raw.RemoteAddr().String()
+	l.post(event{kind: accepted, socket: s})
 	x.run()
 }
 
