A connection brings no more than its share into a turn of the event loop

One connection that writes small requests at full speed takes the slowest answer of a usual client to between 1.6 and 2.9 s, for seven kinds of messages out of nine. Cause: the mailbox was bounded for all connections together. One client filled it, some 40,000 requests, which were one turn, while the poller waited for room and read nobody else. Change: a connection has two buffers in the mailbox at most; one that has them is passed over, and the poller pauses for a millisecond at most in place of turning round. On the platform the system keeps 64 KiB of a viewer's unread bytes.

--- a/cmd/pierlink/platform.go
+++ b/cmd/pierlink/platform.go
@@ -19,6 +19,7 @@
 
 const (
 	readBufferSize     = 4 << 10         // bytes; a message has at most 16 KiB
+	receiveWindow      = 64 << 10        // bytes; several messages
 	inboxMemoryDivisor = 8               // 1/8 of the memory is for received data that has not been processed
 	statsTimeout       = 2 * time.Second // wait for the figures of a busy loop
 	heapMemoryShare    = 0.6             // share of the memory set as the Go runtime's soft limit, above which it collects more often
@@ -81,7 +82,7 @@
 	var manager *platform.Manager
 	var loop *edge.Loop
 	room := edge.Limits{ReadBuffer: readBufferSize, MailboxBytes: int(config.MemoryBytes / inboxMemoryDivisor), DialTimeout: time.Duration(config.Settings.ConnectTimeout)*time.Microsecond + time.Second,
-		MaxConnections: platform.MaxViewers(config) + platform.MaxArriving(config)}
+		MaxConnections: platform.MaxViewers(config) + platform.MaxArriving(config), ReceiveWindow: receiveWindow}
 	loop, err = edge.NewWithLimits(room, "", func(network core.Net) core.Core {
 		manager = platform.New(network, config, edge.Now(), policy.New)
 		manager.Exit = func() { close(exit) }
--- a/cmd/pierlink/platform_test.go
+++ b/cmd/pierlink/platform_test.go
@@ -54,14 +54,23 @@
 
 // managerProcess is a session manager in a process of its own.
 type managerProcess struct {
-	t           *testing.T
-	cmd         *exec.Cmd
-	log         *logBuffer
-	config      string
-	listen      string
-	descriptors int // limit of open descriptors
+	t      *testing.T
+	cmd    *exec.Cmd
+	log    *logBuffer
+	config string
+	listen string
+	managerLimits
 }
 
+// managerLimits are settings of a manager's configuration that tests choose.
+type managerLimits struct {
+	descriptors int     // limit of open descriptors, also set in the system
+	memoryMB    int     // limit on memory
+	abandonS    float64 // abandon time of viewers
+}
+
+var defaultLimits = managerLimits{descriptors: 256, memoryMB: 64, abandonS: 0.3}
+
 func listenLocal(t *testing.T) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -99,8 +108,8 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	full := strings.NewReplacer("MEMORY", "64", "SOCKETS", strconv.Itoa(m.descriptors), "PROBES", "false", "EFFECT", "read_like", "IDLE", "15", "TENANTS", "[]", "FLOOR", "0",
-		"127.0.0.1:1", m.listen, "10.2.0.1:8500", bus, "10.1.0.", "127.0.0.", `"giveUp":4`, `"giveUp":0.3`).Replace(string(text))
+	full := strings.NewReplacer("MEMORY", strconv.Itoa(m.memoryMB), "SOCKETS", strconv.Itoa(m.descriptors), "PROBES", "false", "EFFECT", "read_like", "IDLE", "15", "TENANTS", "[]", "FLOOR", "0",
+		"127.0.0.1:1", m.listen, "10.2.0.1:8500", bus, "10.1.0.", "127.0.0.", `"giveUp":4`, `"giveUp":`+strconv.FormatFloat(m.abandonS, 'g', -1, 64)).Replace(string(text))
 	if err := os.WriteFile(m.config, []byte(full), 0o600); err != nil {
 		m.t.Fatal(err)
 	}
@@ -108,17 +117,16 @@
 
 func startManager(t *testing.T, bus string) *managerProcess {
 	t.Helper()
-	return startManagerWith(t, bus, 256)
+	return startManagerWith(t, bus, defaultLimits)
 }
 
-// startManagerWith starts a manager with a limit of descriptors, set in the system and in the configuration.
-func startManagerWith(t *testing.T, bus string, descriptors int) *managerProcess {
+func startManagerWith(t *testing.T, bus string, limits managerLimits) *managerProcess {
 	t.Helper()
 	ln := listenLocal(t)
-	manager := &managerProcess{t: t, log: &logBuffer{}, config: filepath.Join(t.TempDir(), "config.json"), listen: ln.Addr().String(), descriptors: descriptors}
+	manager := &managerProcess{t: t, log: &logBuffer{}, config: filepath.Join(t.TempDir(), "config.json"), listen: ln.Addr().String(), managerLimits: limits}
 	_ = ln.Close()
 	manager.writeConfig(bus)
-	manager.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, descriptors), os.Args[0])
+	manager.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, limits.descriptors), os.Args[0])
 	manager.cmd.Env = append(os.Environ(), runAsProgramEnv+"=1", "GW_CONFIG="+manager.config, "GW_NAME=n0", "GW_LISTEN="+manager.listen)
 	manager.cmd.Stdout, manager.cmd.Stderr = manager.log, manager.log
 	if err := manager.cmd.Start(); err != nil {
@@ -237,7 +245,7 @@
 
 // An invalid configuration ends the start with an error of one line.
 func TestStartWithInvalidConfiguration(t *testing.T) {
-	manager := &managerProcess{t: t, log: &logBuffer{}, config: filepath.Join(t.TempDir(), "config.json"), listen: "127.0.0.1:1", descriptors: 256}
+	manager := &managerProcess{t: t, log: &logBuffer{}, config: filepath.Join(t.TempDir(), "config.json"), listen: "127.0.0.1:1", managerLimits: defaultLimits}
 	manager.writeConfig("nowhere")
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), runAsProgramEnv+"=1", "GW_CONFIG="+manager.config, "GW_LISTEN=127.0.0.1:1")
@@ -257,7 +265,9 @@
 		idleClients     = 80 // more than all descriptors
 	)
 	busListener, serverListener := listenLocal(t), listenLocal(t)
-	manager := startManagerWith(t, busListener.Addr().String(), descriptorLimit)
+	limits := defaultLimits
+	limits.descriptors = descriptorLimit
+	manager := startManagerWith(t, busListener.Addr().String(), limits)
 	if status := manager.optionsStatus(); status != "200" {
 		t.Fatal(status)
 	}
--- a/internal/edge/limits_test.go
+++ b/internal/edge/limits_test.go
@@ -363,3 +363,34 @@
 		t.Error("the function did not run after the turn had ended")
 	}
 }
+
+// Guards against a client that keeps all others waiting: of what a connection has sent, no more than its share comes into a
+// turn, however much waits.
+func TestConnectionShareOfTurn(t *testing.T) {
+	const share, total = 2, 100_000 // share: maxQueuedBuffers
+	c, l := newCountingLoop(t, edge.Limits{ReadBuffer: 64, MailboxBytes: 64 << 10})
+	conn, err := net.Dial("tcp", l.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := conn.Write(make([]byte, total)); err != nil {
+		t.Fatal(err)
+	}
+	<-c.first
+	time.Sleep(20 * time.Millisecond) // the rest is read meanwhile, if it is read at all
+	close(c.proceed)
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		received, pieces := 0, 0
+		l.Do(func() { received, pieces = c.bytes, c.maxTurnPieces })
+		if pieces > share {
+			t.Fatalf("%d buffers of one connection in a turn, its share is %d", pieces, share)
+		}
+		if received == total {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal(received, "bytes received within 10 s, want all")
+		}
+	}
+}
--- a/internal/edge/listener.go
+++ b/internal/edge/listener.go
@@ -39,6 +39,9 @@
 // socket: each connection goes to one of the two.
 func (l *Loop) Accept(ln *net.TCPListener, tlsConfig *tls.Config) {
 	entry := &listener{ln: ln, tlsConfig: tlsConfig, done: make(chan struct{})}
+	if l.limits.ReceiveWindow > 0 {
+		setReceiveWindow(ln, l.limits.ReceiveWindow)
+	}
 	l.mu.Lock()
 	l.listeners = append(l.listeners, entry)
 	if tlsConfig == nil {
@@ -50,6 +53,16 @@
 	go l.accept(entry)
 }
 
+// setReceiveWindow sets how much the system receives for each connection of a listener before it is read. Where that cannot
+// be set, the system's default is in force.
+func setReceiveWindow(ln *net.TCPListener, bytes int) {
+	raw, err := ln.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes) })
+}
+
 // Addr returns the address at which the loop listens without TLS; empty while it does not.
 func (l *Loop) Addr() string {
 	l.mu.Lock()
--- a/internal/edge/loop.go
+++ b/internal/edge/loop.go
@@ -32,6 +32,7 @@
 	MailboxBytes   int           // bytes of receive buffers in the mailbox beyond which reading stops, so that TCP slows the senders down
 	DialTimeout    time.Duration // timeout of a dial; 0 for none
 	MaxConnections int           // open accepted connections beyond which accepting waits; 0 for no limit
+	ReceiveWindow  int           // bytes of an accepted connection that the system keeps until they are read; 0 for its default
 }
 
 // DefaultLimits are the limits of a loop that has the machine to itself.
@@ -64,6 +65,8 @@
 	observer      turnObserver           // the core, if it is one
 	pollerRuns    atomic.Bool            // the poller has read something
 	reading       atomic.Pointer[socket] // which the poller is reading, until what it has read is posted
+	eventsTaken   chan struct{}          // signalled when the mailbox is emptied
+	pausedAt      time.Time              // end of the poller's last pause; used by the poller only
 }
 
 // turnObserver is implemented by cores that measure the duration of turns and the time that events wait.
@@ -73,14 +76,14 @@
 }
 
 type event struct {
-	kind       kind
-	socket     *socket
-	transport  transport
-	data       *[]byte // a buffer of the pool
-	size       int     // bytes used in data
-	err        error
-	call       func()    // of a called event
-	arrivedAt  core.Time // when the event was posted
+	kind      kind
+	socket    *socket
+	transport transport
+	data      *[]byte // a buffer of the pool
+	size      int     // bytes used in data
+	err       error
+	call      func()    // of a called event
+	arrivedAt core.Time // when the event was posted
 }
 
 type kind uint8
@@ -103,11 +106,13 @@
 	deliveredBytes int64
 	postedBytes    int64 // read by the poller; guarded by Loop.mu
 	writtenBytes   atomic.Int64
+	queuedBuffers  int         // its buffers in the mailbox; guarded by Loop.mu
 	drainPending   atomic.Bool // a drained event has to be posted once all is written
 	closedForCore  bool        // the core gets no more events
 	closedEarly    bool        // closed by the core before it was connected
 	cancel         func()      // cancels the dial; nil if it was accepted
 	remoteAddr     string      // of an accepted connection
+	ownReader      bool        // a goroutine of its own reads it, not the poller
 }
 
 // New starts a loop with the default limits that listens on an address, or nowhere if it is empty. build returns the
@@ -118,7 +123,7 @@
 
 // NewWithLimits is like New with the given limits.
 func NewWithLimits(limits Limits, addr string, build func(core.Net) core.Core) (*Loop, error) {
-	l := &Loop{limits: limits, wake: make(chan struct{}, 1), done: make(chan struct{}), sockets: map[*socket]struct{}{}}
+	l := &Loop{limits: limits, wake: make(chan struct{}, 1), eventsTaken: make(chan struct{}, 1), done: make(chan struct{}), sockets: map[*socket]struct{}{}}
 	l.spaceFreed.L = &l.mu
 	l.buffers.New = func() any { b := make([]byte, limits.ReadBuffer); return &b }
 	config := nbio.Config{Name: "pierlink", NPoller: 1, ReadBufferSize: limits.ReadBuffer, EpollMod: nbio.EPOLLLT}
@@ -202,13 +207,14 @@
 func (l *Loop) post(e event) {
 	e.arrivedAt = Now()
 	l.mu.Lock()
-	for (l.mailboxBytes > l.limits.MailboxBytes || len(l.mailbox) > maxMailboxEvents) && e.kind == received && !l.stopped {
+	for l.mustWait(&e) {
 		l.spaceFreed.Wait()
 	}
 	l.mailbox = append(l.mailbox, e)
 	if e.data != nil {
 		l.mailboxBytes += l.limits.ReadBuffer // the memory held, not the bytes used of it
 		e.socket.postedBytes += int64(e.size)
+		e.socket.queuedBuffers++
 	}
 	l.mu.Unlock()
 	select {
@@ -217,6 +223,15 @@
 	}
 }
 
+// mustWait reports whether there is no room for an event in the mailbox yet. A connection that is read by a goroutine of
+// its own waits for its share here.
+func (l *Loop) mustWait(e *event) bool {
+	if e.kind != received || l.stopped {
+		return false
+	}
+	return l.mailboxBytes > l.limits.MailboxBytes || len(l.mailbox) > maxMailboxEvents || e.socket.ownReader && e.socket.queuedBuffers >= maxQueuedBuffers
+}
+
 // Stop ends the loop. Connections are closed, or, if abrupt is set, reset as if the process had been killed.
 func (l *Loop) Stop(abrupt bool) {
 	l.mu.Lock()
@@ -281,6 +296,17 @@
 	l.taken, l.mailbox = l.mailbox, l.taken[:0]
 	l.mailboxBytes = 0
 	l.spaceFreed.Broadcast()
+	for i := range l.taken {
+		if l.taken[i].data != nil {
+			l.taken[i].socket.queuedBuffers = 0
+		}
+	}
+	if len(l.taken) > 0 {
+		select {
+		case l.eventsTaken <- struct{}{}:
+		default:
+		}
+	}
 	return l.taken, l.stopped
 }
 
--- a/internal/edge/secure.go
+++ b/internal/edge/secure.go
@@ -82,6 +82,7 @@
 func (l *Loop) newTLSConn(s *socket, raw *net.TCPConn, conn *tls.Conn) *tlsConn {
 	x := &tlsConn{loop: l, socket: s, raw: raw, conn: conn}
 	x.changed.L = &x.mu
+	s.ownReader = true
 	return x
 }
 
