What is read after a client has closed its connection starts no set-up

A client writes 200 set-ups and closes; some are sent to the video server afterwards. Cause: the core learnt of a close only when all bytes before it had been delivered, which takes as many turns as they need. Change: the poller asks of each connection that it reads whether its peer has closed it, and the core is told before it gets the rest. Open set-ups of that client are withdrawn then, later ones are not begun; TEARDOWN, hand-overs and reports still count. The daemon's front does the same.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,6 +46,12 @@
 	CloseWrite(c *Conn)
 }
 
+// PeerCloseObserver is a Core that is told that the peer has closed a connection before it gets the rest of what the peer
+// had sent. Received may follow, and Closed does.
+type PeerCloseObserver interface {
+	PeerClosed(c *Conn)
+}
+
 // Core is a program without its sockets. It is owned by one goroutine, which runs it in turns: a turn starts with the
 // current time, delivers events in the order of their arrival, and ends with EndTurn, which returns the latest time at
 // which the next turn has to start. A core decides, and runs the timers that are due, in EndTurn: in a late turn the edge
--- a/internal/edge/loop.go
+++ b/internal/edge/loop.go
@@ -63,6 +63,7 @@
 	clientTLS     *tls.Config            // for connections that the core dials; nil for the system's certificate authorities
 	sockets       map[*socket]struct{}   // open connections; used by the loop's goroutine only
 	observer      turnObserver           // the core, if it is one
+	closeObserver core.PeerCloseObserver // the core, if it is one
 	pollerRuns    atomic.Bool            // the poller has read something
 	reading       atomic.Pointer[socket] // which the poller is reading, until what it has read is posted
 	eventsTaken   chan struct{}          // signalled when the mailbox is emptied
@@ -110,6 +111,8 @@
 	drainPending   atomic.Bool // a drained event has to be posted once all is written
 	closedForCore  bool        // the core gets no more events
 	closedEarly    bool        // closed by the core before it was connected
+	peerClosed     atomic.Bool // the poller has found that the peer has closed it
+	closeReported  bool        // the core knows that the peer has closed it
 	cancel         func()      // cancels the dial; nil if it was accepted
 	remoteAddr     string      // of an accepted connection
 	ownReader      bool        // a goroutine of its own reads it, not the poller
@@ -130,6 +133,7 @@
 	l.engine = nbio.NewEngine(config)
 	l.core = build(l)
 	l.observer, _ = l.core.(turnObserver)
+	l.closeObserver, _ = l.core.(core.PeerCloseObserver)
 	l.engine.OnOpen(func(conn *nbio.Conn) {
 		switch session := conn.Session().(type) {
 		case *socket:
@@ -369,6 +373,7 @@
 		l.core.Dialed(s.coreConn, nil)
 	case received:
 		s.deliveredBytes += int64(e.size)
+		l.reportPeerClose(s)
 		if !s.closedForCore {
 			l.core.Received(s.coreConn, (*e.data)[:e.size])
 		}
@@ -396,6 +401,15 @@
 	}
 }
 
+// reportPeerClose tells the core that the peer has closed a connection of which bytes are still to be delivered.
+func (l *Loop) reportPeerClose(s *socket) {
+	if l.closeObserver == nil || s.closedForCore || s.closeReported || !s.peerClosed.Load() {
+		return
+	}
+	s.closeReported = true
+	l.closeObserver.PeerClosed(s.coreConn)
+}
+
 func closeReason(err error) error {
 	if err == nil || errors.Is(err, io.EOF) {
 		return core.ErrClosedByPeer
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -32,7 +32,8 @@
 	l.reading.Store(s)
 	defer l.reading.Store(nil)
 	for reads := 1; ; reads++ {
-		if l.shareUsed(s) && !closedByPeer(conn) {
+		peerClosed := closedByPeer(conn)
+		if l.shareUsed(s, peerClosed) && !peerClosed {
 			l.pauseReading()
 			return
 		}
@@ -50,16 +51,17 @@
 		case err != nil:
 			_ = conn.CloseWithError(err)
 			return
-		case n < len(*buffer), reads >= maxReadsPerEvent && !closedByPeer(conn):
+		case n < len(*buffer), reads >= maxReadsPerEvent && !peerClosed:
 			return
 		}
 	}
 }
 
-// shareUsed reports whether a connection has its share of the mailbox.
-func (l *Loop) shareUsed(s *socket) bool {
+// shareUsed reports whether a connection has its share of the mailbox, and records whether the peer has closed it.
+func (l *Loop) shareUsed(s *socket, peerClosed bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	s.peerClosed.Store(peerClosed)
 	return s.queuedBuffers >= maxQueuedBuffers
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,7 @@
 	"encoding/hex"
 	"hash"
 	"net"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -134,6 +135,7 @@
 	sink         sink
 	output       outputQueue
 	closed       bool
+	left         bool // the player has closed it; what it had sent is still being read
 	lastReceived Time
 	partialSince Time // when the incomplete message began, 0 for none
 	idleTimer    *core.Timer
@@ -307,6 +309,21 @@
 	}
 }
 
+// PeerClosed handles that a player has closed a connection of which bytes are still to be read: its requests that wait are
+// withdrawn, and no new playback is begun. What it reports of others still counts.
+func (f *Front) PeerClosed(c *core.Conn) {
+	peer, ok := c.Owner.(*peerConn)
+	if !ok || peer.closed || peer.dialogue != nil {
+		return
+	}
+	peer.left = true
+	for _, pb := range slices.Clone(peer.playbacks) {
+		if !pb.answered {
+			f.finish(pb, session.Cancelled)
+		}
+	}
+}
+
 // Closed handles the end of a connection.
 func (f *Front) Closed(c *core.Conn, err error) {
 	peer, ok := c.Owner.(*peerConn)
--- a/internal/front/player.go
+++ b/internal/front/player.go
@@ -381,6 +381,8 @@
 		}
 		abandonTime := f.Plans[target.plan].Abandon
 		switch {
+		case peer.left:
+			return retryLaterResponse(0)
 		case f.draining:
 			f.Figures.DoorRefused++
 			return f.redirectOrRefuse(peer, target.baseURL)
--- a/internal/front/scenario_test.go
+++ b/internal/front/scenario_test.go
@@ -297,6 +297,8 @@
 		s.turn(func() { s.manager.Dialed(conn, core.ErrRefused) })
 	case words[1] == "close":
 		s.turn(func() { s.manager.Closed(conn, core.ErrClosedByPeer) })
+	case words[1] == "leaves": // it has closed the connection, of which more is still to be read
+		s.turn(func() { s.manager.PeerClosed(conn) })
 	case words[1] == "stuck":
 		s.unsentBytes[party] = 1
 	case words[1] == "drains":
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -222,6 +222,13 @@
 // Drained does nothing: a connection with too many unsent bytes is closed instead.
 func (m *Manager) Drained(*core.Conn) {}
 
+// PeerClosed handles that the peer has closed a connection of which bytes are still to be read.
+func (m *Manager) PeerClosed(conn *core.Conn) {
+	if viewer, ok := conn.Owner.(*viewerConn); ok {
+		m.viewerLeft(viewer)
+	}
+}
+
 // Closed handles the end of a connection.
 func (m *Manager) Closed(conn *core.Conn, err error) {
 	switch owner := conn.Owner.(type) {
--- a/internal/platform/scenario_test.go
+++ b/internal/platform/scenario_test.go
@@ -195,6 +195,8 @@
 		s.manager.Accepted(conn, "10.0.0.1:1")
 	case args[0] == "close":
 		s.manager.Closed(conn, core.ErrClosedByPeer)
+	case args[0] == "leaves": // it has closed the connection, of which more is still to be read
+		s.manager.PeerClosed(conn)
 	case args[0] == "up":
 		s.manager.Dialed(conn, nil)
 	case args[0] == "refused":
--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -52,6 +52,7 @@
 	hasServed     bool      // a set-up was answered with 200 here, or a playing session taken over and confirmed by its server
 	hasAsked      bool      // a request of a known kind was read here
 	hasNotices    bool      // a teardown was written here
+	left          bool      // its client has closed it; what it had sent is still being read
 	closing       bool
 }
 
@@ -88,6 +89,20 @@
 	m.viewerClosed(viewer)
 }
 
+// viewerLeft gives up the set-ups of a client that has closed its connection. What it had sent before is read for what it
+// says of sessions; nothing new is set up for it.
+func (m *Manager) viewerLeft(viewer *viewerConn) {
+	viewer.left = true
+	if viewer.pendingSetups == 0 {
+		return
+	}
+	for _, pb := range m.playbacks {
+		if pb.viewer == viewer && pb.phase != phasePlaying {
+			m.abandonSetup(pb)
+		}
+	}
+}
+
 func (m *Manager) viewerClosed(viewer *viewerConn) {
 	i := slices.Index(m.viewers, viewer)
 	if i < 0 {
@@ -106,15 +121,11 @@
 		}
 	}
 	m.handovers.connClosed(viewer)
-	if viewer.pendingSetups > 0 || viewer.playing > 0 {
+	m.viewerLeft(viewer)
+	if viewer.playing > 0 {
 		for _, pb := range m.playbacks {
-			if pb.viewer != viewer {
-				continue
-			}
-			if pb.phase == phasePlaying {
+			if pb.viewer == viewer {
 				pb.viewer = nil
-			} else {
-				m.abandonSetup(pb)
 			}
 		}
 	}
@@ -295,6 +306,10 @@
 		m.adoptPlaying(viewer, pb, serverName)
 		return
 	}
+	if viewer.left {
+		m.stats.Left++
+		return
+	}
 	if existing := m.playbacks[id]; existing != nil { // duplicate session ID: neither set-up is served on this connection
 		if existing.viewer == viewer && existing.phase != phasePlaying {
 			m.abandonSetup(existing)
