A set-up that must not run twice is not sent on again under its id

A client leaves while a video server has its set-up, of a plan that is paid for, and sends it again under the same id on a new connection; it is sent on twice. Cause: a set-up was forgotten with its viewer, and an id refused only while its playback was there. Change: ids of set-ups that may have run, of plans that are not harmless to repeat, are recorded when they are over, as many as there may be playbacks. Such an id is answered with 500. Ids that never ran, and plans that may be repeated, are as before.

--- a/cmd/pierlink/left_test.go
+++ b/cmd/pierlink/left_test.go
@@ -12,7 +12,7 @@
 // Guards against set-ups that are sent on although their client has closed its connection before they were read.
 func TestSetupsOfLeftClientsAreNotSentOn(t *testing.T) {
 	const rounds, setups = 20, 200
-	o := newOverloadTest(t, managerLimits{descriptors: 256, memoryMB: 64, abandonS: 4})
+	o := newOverloadTest(t, managerLimits{descriptors: 256, memoryMB: 64, abandonS: 4, effect: "read_like"})
 	viewer, err := net.Dial("tcp", o.manager.listen)
 	if err != nil {
 		t.Fatal(err)
@@ -48,3 +48,50 @@
 		t.Errorf("%d set-ups were sent on, of %d in %d rounds", sent, rounds*setups, rounds)
 	}
 }
+
+// Guards against a set-up that runs twice though it must not: its client leaves while the server has it, and sends it again under the same id
+// on a new connection.
+func TestSetupThatComesAgainRunsOnce(t *testing.T) {
+	o := newOverloadTest(t, managerLimits{descriptors: 256, memoryMB: 64, abandonS: 4, effect: "non_idempotent"})
+	waitForOffers := func(count int64) {
+		t.Helper()
+		for end := time.Now().Add(testTimeout); o.server.offers.Load() < count; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d set-ups were sent on, expected %d", o.server.offers.Load(), count)
+			}
+		}
+	}
+	usual, err := net.Dial("tcp", o.manager.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer usual.Close()
+	for end := time.Now().Add(testTimeout); o.server.offers.Load() == 0 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) { // until the server is known
+		_, _ = usual.Write([]byte(o.setup()))
+	}
+	o.server.silent.Store(true)
+	time.Sleep(100 * time.Millisecond)
+	before, request := o.server.offers.Load(), o.setup()
+	first, err := net.Dial("tcp", o.manager.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = first.Write([]byte(request))
+	waitForOffers(before + 1)
+	_ = first.Close()
+	time.Sleep(50 * time.Millisecond)
+	second, err := net.Dial("tcp", o.manager.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	_ = second.SetDeadline(time.Now().Add(testTimeout))
+	_, _ = second.Write([]byte(request))
+	line := make([]byte, 12)
+	if _, err := second.Read(line); err != nil || string(line) != "RTSP/1.0 500" {
+		t.Errorf("the answer is %q, %v", line, err)
+	}
+	if sent := o.server.offers.Load() - before; sent != 1 {
+		t.Errorf("the set-up was sent on %d times", sent)
+	}
+}
--- a/cmd/pierlink/overload_test.go
+++ b/cmd/pierlink/overload_test.go
@@ -210,7 +210,7 @@
 		"blank lines between no messages": func(*overloadTest) string { return "\r\n\r\n" },
 	} {
 		t.Run(name, func(t *testing.T) {
-			o := newOverloadTest(t, managerLimits{descriptors: 256, memoryMB: 32, abandonS: 4})
+			o := newOverloadTest(t, managerLimits{descriptors: 256, memoryMB: 32, abandonS: 4, effect: "read_like"})
 			o.hostile(1, o.fullSpeed(func() string { return message(o) }))
 			result := o.usualClient(2 * time.Second)
 			o.end()
--- a/cmd/pierlink/pause_test.go
+++ b/cmd/pierlink/pause_test.go
@@ -94,6 +94,7 @@
 type acceptingServer struct {
 	ln     net.Listener
 	offers atomic.Int64
+	silent atomic.Bool // it does not answer
 }
 
 func newAcceptingServer(t *testing.T) *acceptingServer {
@@ -122,7 +123,9 @@
 		}
 		_ = reader.Feed(buffer[:n], func(msg *boxes.Message) {
 			if msg.Op == boxes.Offer {
-				s.offers.Add(1)
+				if s.offers.Add(1); s.silent.Load() {
+					return
+				}
 				_, _ = conn.Write((&boxes.Message{Op: boxes.Accept, SessionID: msg.SessionID, Description: "x\r\n"}).Append(nil))
 			}
 		})
--- a/cmd/pierlink/platform_test.go
+++ b/cmd/pierlink/platform_test.go
@@ -67,9 +67,10 @@
 	descriptors int     // limit of open descriptors, also set in the system
 	memoryMB    int     // limit on memory
 	abandonS    float64 // abandon time of viewers
+	effect      string  // of a second set-up
 }
 
-var defaultLimits = managerLimits{descriptors: 256, memoryMB: 64, abandonS: 0.3}
+var defaultLimits = managerLimits{descriptors: 256, memoryMB: 64, abandonS: 0.3, effect: "read_like"}
 
 func listenLocal(t *testing.T) net.Listener {
 	t.Helper()
@@ -108,7 +109,7 @@
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	full := strings.NewReplacer("MEMORY", strconv.Itoa(m.memoryMB), "SOCKETS", strconv.Itoa(m.descriptors), "PROBES", "false", "EFFECT", "read_like", "IDLE", "15", "TENANTS", "[]", "FLOOR", "0",
+	full := strings.NewReplacer("MEMORY", strconv.Itoa(m.memoryMB), "SOCKETS", strconv.Itoa(m.descriptors), "PROBES", "false", "EFFECT", m.effect, "IDLE", "15", "TENANTS", "[]", "FLOOR", "0",
 		"127.0.0.1:1", m.listen, "10.2.0.1:8500", bus, "10.1.0.", "127.0.0.", `"giveUp":4`, `"giveUp":`+strconv.FormatFloat(m.abandonS, 'g', -1, 64)).Replace(string(text))
 	if err := os.WriteFile(m.config, []byte(full), 0o600); err != nil {
 		m.t.Fatal(err)
--- a/internal/platform/handover_test.go
+++ b/internal/platform/handover_test.go
@@ -173,3 +173,31 @@
 		t.Errorf("%d taken, %d refused, %d answers", stats.Taken, stats.Refused, s.count("v 503"))
 	}
 }
+
+// The record of ids that were used is bounded: the oldest is forgotten first.
+func TestUsedIDsAreBounded(t *testing.T) {
+	const limit = 256 // a quarter of 1 MB, in playbacks of 1 KiB
+	s := newScenario(t)
+	s.run("set memory 1\nset effect idempotency_key\n1 v open | 1 v SETUP a | 1 d1 up | 1 d1 accept a x | 1 d1 end a 16 | 1 v SETUP a | > v 500 a")
+	play := func(n int) {
+		id := fmt.Sprintf("%016x", n)
+		request := rtsp.NewRequest(rtsp.Setup, "rtsp://media/7f3a9c21e0b4d655", 1).With("Session", id).
+			With("Call-Kind", "live").With("Answer-Within", "4000").With("Routing-Data", "home:0;copies:2;top:1;viewer:00000000b4d65521")
+		request.Body = []byte("sdp")
+		s.manager.BeginTurn(s.now)
+		s.manager.Received(s.conns["v"], request.Append(nil))
+		s.manager.EndTurn()
+		s.manager.BeginTurn(s.now)
+		s.manager.Received(s.conns["d1"], []byte(`{"op":"accept","call":"`+id+`","with":{},"desc":"x"}`+"\n"+`{"op":"end","call":"`+id+`","with":{},"why":16}`+"\n"))
+		s.next = s.manager.EndTurn()
+	}
+	for n := range limit - 1 {
+		play(n + 1)
+	}
+	s.run("1 v SETUP a | > v 500 a")
+	play(limit)
+	if stats := s.manager.Stats(); stats.Served != limit+1 {
+		t.Fatalf("%+v", stats)
+	}
+	s.run("1 v SETUP a | > d1 offer a")
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -64,6 +64,7 @@
 	freeTitles    []int                  // title numbers free for reuse
 	bufferedBytes int                    // session descriptions and incomplete messages held in memory
 	handovers     handoverTable          // playbacks that no server has confirmed
+	usedIDs       usedIDs                // session IDs of set-ups that may have run, must not run twice, and are over
 
 	viewers    []*viewerConn
 	lastServed *viewerConn       // the connection on which a playback was served last
@@ -108,6 +109,7 @@
 	phaseSince                      core.Time // start of the current try or of the playing
 	timer                           *core.Timer
 	moving, endedByServer           bool          // endedByServer: the server ended the try, so there is nothing to withdraw
+	mayHaveRun                      bool          // at a server, as a set-up of this manager
 	unconfirmed                     *list.Element // its entry in the table of hand-overs; nil unless it was handed over and its server has not mentioned it
 }
 
@@ -115,7 +117,7 @@
 // site, the seed and the time.
 func New(network core.Net, config *Config, now core.Time, newModule func(*session.Site, uint64, core.Time) session.Manager) *Manager {
 	m := &Manager{config: config, network: network, now: now, wakeups: map[uint64]*core.Timer{}, playbacks: map[string]*playback{}, titles: map[uint64]*titleEntry{},
-		servers: map[uint32]*server{}}
+		servers: map[uint32]*server{}, usedIDs: newUsedIDs(maxPlaybacks(config))}
 	m.halfCloser, _ = network.(core.HalfCloser)
 	config.Settings.Site.StartsListed = true
 	m.module = newModule(config.Settings.Site, config.Seed, now)
@@ -363,6 +365,7 @@
 	if pb.phase == phaseDone {
 		return
 	}
+	m.recordUse(pb)
 	m.timers.Stop(pb.timer)
 	if pb.viewer != nil && pb.phase != phasePlaying {
 		pb.viewer.pendingSetups--
@@ -378,6 +381,13 @@
 	pb.phase, pb.description, pb.viewer, pb.conn = phaseDone, "", nil, nil
 }
 
+// recordUse records the ID of a playback that is over, if it may have run and must not run twice.
+func (m *Manager) recordUse(pb *playback) {
+	if pb.mayHaveRun && m.config.Settings.Site.Plans[pb.request.Plan].Repeat != session.Harmless {
+		m.usedIDs.add(pb.id)
+	}
+}
+
 // markPlaying records a playback as playing at its server and on its viewer's connection.
 func (m *Manager) markPlaying(pb *playback) {
 	pb.phase, pb.phaseSince = phasePlaying, m.now
@@ -447,10 +457,12 @@
 			m.stats.Cut++
 		}
 		m.unmarkPlaying(pb)
+		m.recordUse(pb)
 		delete(m.playbacks, pb.id)
 		pb.phase = phaseDone
 	} else {
 		m.stats.Tries[outcome]++
+		pb.mayHaveRun = pb.mayHaveRun || pb.offerSent && mayHaveRun(outcome)
 		if outcome == session.TimedOut && pb.offerSent {
 			pb.conn.stale = true
 		}
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -334,7 +334,7 @@
 	m.timers.Stop(pb.timer)
 	conn := pb.conn
 	conn.setups = slices.DeleteFunc(conn.setups, func(other *playback) bool { return other == pb })
-	pb.conn = nil
+	pb.conn, pb.mayHaveRun = nil, true
 	pb.server.tries--
 	pb.viewer.pendingSetups--
 	took := m.now - pb.phaseSince
--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -317,6 +317,11 @@
 		m.rejectMalformed(viewer, msg)
 		return
 	}
+	if m.usedIDs.contains(id) {
+		m.stats.Failed++
+		m.sendToViewer(viewer, rtsp.NewResponse(rtsp.StatusInternal, setupCSeq).With("Session", id))
+		return
+	}
 	if m.stoppingSince > 0 || len(m.playbacks) >= maxPlaybacks(m.config) || int64(m.bufferedBytes+len(pb.description)) > m.config.MemoryBytes/bufferedMemoryDivisor {
 		m.stats.Refused++
 		reply := rtsp.NewResponse(rtsp.StatusUnavailable, setupCSeq).With("Session", id)
