Memory holds while hundreds of clients do their worst: two more bounds, and a test by kind

Set-ups at once 45.5 MB, given up 34.8 MB, handed over 41.8 MB. Cause: what a turn takes in became several times as much; set-ups of clients that had closed were begun; the bound on playbacks did not count those that the module had not released; unread answers had a bound for each connection and none together. The bound counts the module's numbers; unread answers of all connections together have an eighth of the memory, 16 KiB for each at least. TestWithdrawnSetupsAreBounded before: 261 taken of a bound of 256; the scenario of unread answers fails before.

--- a/cmd/pierlink/overload_test.go
+++ b/cmd/pierlink/overload_test.go
@@ -63,9 +63,10 @@
 	}
 }
 
-// end ends the hostile clients.
+// end ends the manager, which still has much to read, and the hostile clients.
 func (o *overloadTest) end() {
 	close(o.stop)
+	_ = o.manager.cmd.Process.Kill()
 	o.clients.Wait()
 }
 
--- a/internal/platform/handover.go
+++ b/internal/platform/handover.go
@@ -98,7 +98,10 @@
 // may hand over another one.
 func (m *Manager) makeRoomForHandover(viewer *viewerConn) bool {
 	limit := maxPlaybacks(m.config)
-	if m.handovers.count < limit/unconfirmedDivisor && len(m.playbacks) < limit {
+	if m.numbersInUse() >= limit {
+		return false
+	}
+	if m.handovers.count < limit/unconfirmedDivisor {
 		return true
 	}
 	victim := m.handovers.victim(m.viewers, viewer)
--- a/internal/platform/handover_test.go
+++ b/internal/platform/handover_test.go
@@ -201,3 +201,20 @@
 	}
 	s.run("1 v SETUP a | > d1 offer a")
 }
+
+// Set-ups that are given up in the turn in which they came count until the module has released them.
+func TestWithdrawnSetupsAreBounded(t *testing.T) {
+	const limit = 256 // a quarter of 1 MB, in playbacks of 1 KiB
+	s := newScenario(t)
+	s.run("set memory 1\n1 v open")
+	s.manager.BeginTurn(s.now)
+	for range limit + 5 {
+		s.deliver([]string{"v", "SETUP", "a"})
+		s.deliver([]string{"v", "TEARDOWN", "a"})
+	}
+	if stats := s.manager.Stats(); stats.Taken != limit || stats.Refused != 5 {
+		t.Errorf("%d taken, %d refused", stats.Taken, stats.Refused)
+	}
+	s.next = s.manager.EndTurn()
+	s.run("1.1 v SETUP b | > d1 dial")
+}
--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -31,8 +31,10 @@
 	unconfirmedDivisor    = 2       // at most 1/2 of the playbacks may be handed over and not confirmed by their servers
 	maxUnknownNotices     = 1024    // unacknowledged teardowns of sessions that no server has confirmed
 
-	maxUnreadBytes    = 4 * boxes.MaxMessageSize // unsent bytes per viewer connection before it is closed
-	maxQueuedMessages = 1024                     // messages per server that wait for a connection
+	minUnreadBytes      = boxes.MaxMessageSize     // bounds of the unsent bytes of a viewer's connection
+	maxUnreadBytes      = 4 * boxes.MaxMessageSize // beyond which it is closed
+	unreadMemoryDivisor = 8                        // between them, 1/8 of the memory is for those of all connections
+	maxQueuedMessages   = 1024                     // messages per server that wait for a connection
 )
 
 // Timeouts, most of which follow from the platform's rules.
@@ -91,6 +93,12 @@
 	return int(config.MemoryBytes / playbackMemoryDivisor / playbackBytes)
 }
 
+// unreadLimit returns how many bytes may wait for a viewer that does not read before its connection is closed.
+func unreadLimit(config *Config) int {
+	share := int(config.MemoryBytes) / unreadMemoryDivisor / MaxViewers(config)
+	return min(max(share, minUnreadBytes), maxUnreadBytes)
+}
+
 // serverConnLimit returns how many connections one server may have while the given number of servers is ready.
 func serverConnLimit(config *Config, ready int) int {
 	return min(max(config.Sockets/serverSocketsDivisor/max(ready, 1), 1), maxConnsPerServer)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -388,6 +388,9 @@
 	}
 }
 
+// numbersInUse returns how many playbacks the module knows: those that are over stay until it releases their numbers.
+func (m *Manager) numbersInUse() int { return len(m.byNumber) - len(m.freeNumbers) }
+
 // markPlaying records a playback as playing at its server and on its viewer's connection.
 func (m *Manager) markPlaying(pb *playback) {
 	pb.phase, pb.phaseSince = phasePlaying, m.now
--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -322,7 +322,7 @@
 		m.sendToViewer(viewer, rtsp.NewResponse(rtsp.StatusInternal, setupCSeq).With("Session", id))
 		return
 	}
-	if m.stoppingSince > 0 || len(m.playbacks) >= maxPlaybacks(m.config) || int64(m.bufferedBytes+len(pb.description)) > m.config.MemoryBytes/bufferedMemoryDivisor {
+	if m.stoppingSince > 0 || m.numbersInUse() >= maxPlaybacks(m.config) || int64(m.bufferedBytes+len(pb.description)) > m.config.MemoryBytes/bufferedMemoryDivisor {
 		m.stats.Refused++
 		reply := rtsp.NewResponse(rtsp.StatusUnavailable, setupCSeq).With("Session", id)
 		if retryAfter := m.config.Settings.Site.Terms.MaxRetryAfter; retryAfter > 0 {
@@ -385,7 +385,7 @@
 	}
 	m.trace("to viewer %s %s %d", msg.Get("Session"), msg.Method, msg.Status)
 	m.network.Send(viewer.transport, msg.Append(nil))
-	if m.network.Pending(viewer.transport) > maxUnreadBytes {
+	if m.network.Pending(viewer.transport) > unreadLimit(m.config) {
 		m.deferred = append(m.deferred, func() { m.closeViewer(viewer) })
 	}
 }
