A server whose address one has that started later is given up, with what stood there

A new process comes up at the address of a video server that vanished, under an id of its own, while the list still has the first one as ready: its sessions are not told as over, and set-ups are sent to it. Cause: connections belong to ids, and nothing concluded from the later start that the earlier process has ended; connections that the new process accepted counted as its signs of life. Change: among servers listed at one address the one that started last has it. The others' connections are given up, what stood before that start is over, and no connection is made for them until they have another address or a later start.

--- a/cmd/pierlink/overload_test.go
+++ b/cmd/pierlink/overload_test.go
@@ -18,6 +18,7 @@
 type overloadTest struct {
 	t       *testing.T
 	manager *managerProcess
+	bus     *testBus
 	server  *acceptingServer
 	stop    chan struct{}
 	clients sync.WaitGroup
@@ -26,7 +27,7 @@
 
 func newOverloadTest(t *testing.T, limits managerLimits) *overloadTest {
 	bus, addr := newTestBus(t)
-	o := &overloadTest{t: t, manager: startManagerWith(t, addr, limits), server: newAcceptingServer(t), stop: make(chan struct{})}
+	o := &overloadTest{t: t, bus: bus, manager: startManagerWith(t, addr, limits), server: newAcceptingServer(t), stop: make(chan struct{})}
 	if status := o.manager.optionsStatus(); status != "200" {
 		t.Fatal(status)
 	}
--- a/cmd/pierlink/pause_test.go
+++ b/cmd/pierlink/pause_test.go
@@ -79,13 +79,22 @@
 	return frame
 }
 
-// send sends an event with the new state of one server.
+// send sends an event with the new state of one server that has run for long.
 func (b *testBus) send(id uint32, addr *net.TCPAddr, state byte) {
+	b.sendStarted(id, addr, state, time.Time{})
+}
+
+// sendStarted sends an event with the new state of one server, and its start unless that is zero.
+func (b *testBus) sendStarted(id uint32, addr *net.TCPAddr, state byte, started time.Time) {
+	startedMS := uint64(0)
+	if !started.IsZero() {
+		startedMS = uint64(started.UnixMilli())
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	record := append(binary.BigEndian.AppendUint32(nil, id), addr.IP.To4()...)
 	record = append(binary.BigEndian.AppendUint16(record, uint16(addr.Port)), state, 0, 0, 0, 0, 0, 0, 3, 0xe8)
-	record = binary.BigEndian.AppendUint64(record, 0)
+	record = binary.BigEndian.AppendUint64(record, startedMS)
 	head := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(nil, uint32(9+len(record))), uint64(len(b.events)+1))
 	b.events = append(b.events, b.write(head, 2, record...))
 }
@@ -95,6 +104,9 @@
 	ln     net.Listener
 	offers atomic.Int64
 	silent atomic.Bool // it does not answer
+
+	process       atomic.Int64 // number of the process that accepts connections; an earlier one has vanished without a reset
+	offersToEnded atomic.Int64 // on connections of an earlier process
 }
 
 func newAcceptingServer(t *testing.T) *acceptingServer {
@@ -115,6 +127,7 @@
 
 func (s *acceptingServer) serve(conn net.Conn) {
 	defer conn.Close()
+	process := s.process.Load()
 	reader, buffer := &boxes.Reader{}, make([]byte, 4096)
 	for {
 		n, err := conn.Read(buffer)
@@ -123,7 +136,12 @@
 		}
 		_ = reader.Feed(buffer[:n], func(msg *boxes.Message) {
 			if msg.Op == boxes.Offer {
-				if s.offers.Add(1); s.silent.Load() {
+				s.offers.Add(1)
+				ended := process != s.process.Load()
+				if ended {
+					s.offersToEnded.Add(1)
+				}
+				if ended || s.silent.Load() {
 					return
 				}
 				_, _ = conn.Write((&boxes.Message{Op: boxes.Accept, SessionID: msg.SessionID, Description: "x\r\n"}).Append(nil))
--- a/internal/platform/serverconns.go
+++ b/internal/platform/serverconns.go
@@ -48,11 +48,11 @@
 	return best
 }
 
-// dial opens a connection to a server. It returns nil if the server has left the list or a limit is reached: besides the
+// dial opens a connection to a server. It returns nil if the server has left the list or its address, or a limit is reached: besides the
 // connections that a server may have there may be as many that are being closed or used for nothing new, and one that
 // checks whether the machine can be reached.
 func (m *Manager) dial(srv *server) *serverConn {
-	if srv.state == session.Gone || len(srv.conns)+len(srv.draining) > 2*m.connsPerServer {
+	if srv.replaced || srv.state == session.Gone || len(srv.conns)+len(srv.draining) > 2*m.connsPerServer {
 		return nil
 	}
 	if m.serverConnCount >= m.config.Sockets/serverSocketsDivisor && !m.evictIdleConn() {
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -22,6 +22,7 @@
 	address               string
 	state                 session.ServerState
 	started               core.Time // start time reported by the server list
+	replaced              bool      // a server that started later has its address
 	conns                 []*serverConn
 	draining              []*serverConn // half-closed ones, which are only read
 	playing               map[*playback]struct{}
@@ -47,6 +48,7 @@
 func (m *Manager) applyEvent(event feed.Event) {
 	list := session.List{Complete: event.Snapshot}
 	named := map[uint32]bool{}
+	processesChanged := false
 	for _, entry := range event.Servers {
 		named[entry.ID] = true
 		srv := m.servers[entry.ID]
@@ -65,6 +67,7 @@
 			m.servers[entry.ID] = srv
 		}
 		addressChanged := srv.address != entry.Address
+		processesChanged = processesChanged || addressChanged || entry.Started != srv.started
 		srv.state, srv.address = entry.State, entry.Address
 		if srv.started != entry.Started {
 			srv.started = entry.Started
@@ -90,11 +93,41 @@
 			readyCount++
 		}
 	}
+	if processesChanged {
+		m.retireReplaced()
+	}
 	m.connsPerServer = serverConnLimit(m.config, readyCount)
 	m.module.Listed(list)
 	m.trace("server list event %d, snapshot %v: %+v", event.Offset, event.Snapshot, event.Servers)
 }
 
+// errReplaced is the reason for closing connections to an address that belongs to another server now.
+var errReplaced = errors.New("another server has this address")
+
+// retireReplaced gives up servers whose address a server has that started later: their processes have exited, which the
+// list may tell later or not at all, and their connections are dead or lead to the other process.
+func (m *Manager) retireReplaced() {
+	latest := map[string]*server{} // by address
+	for _, srv := range m.servers {
+		if srv.state != session.Gone && (latest[srv.address] == nil || srv.started > latest[srv.address].started) {
+			latest[srv.address] = srv
+		}
+	}
+	for _, srv := range m.servers {
+		successor := latest[srv.address]
+		wasReplaced := srv.replaced
+		srv.replaced = successor != nil && successor.started > srv.started
+		if !srv.replaced || wasReplaced {
+			continue
+		}
+		for _, conn := range slices.Concat(srv.conns, srv.draining) {
+			m.serverConnLost(conn, errReplaced)
+		}
+		srv.outbox = nil
+		m.endPlaybacks(srv, "another server has its address", func(pb *playback) bool { return pb.phaseSince < successor.started })
+	}
+}
+
 // endPlaybacks ends the playbacks of a server that match selects, or all if match is nil.
 func (m *Manager) endPlaybacks(srv *server, reason string, match func(*playback) bool) {
 	m.trace("ending playbacks of server %s, %d playing: %s", srv.name, len(srv.playing), reason)
@@ -194,7 +227,7 @@
 			return
 		}
 	}
-	if srv.state == session.Gone && len(srv.conns) == 0 {
+	if srv.replaced || srv.state == session.Gone && len(srv.conns) == 0 {
 		return // the process has exited, and its playbacks with it
 	}
 	if len(srv.outbox) < maxQueuedMessages {
