The daemon sends no set-up to a box that left service while its connection was made

Cause: Front.Dialed sent what waited for the connection without looking at the box. Change: the requests leave at the end of the turn in which the connection is up, if the box is ready and at the address dialed; otherwise the try never ran and another box is tried.

--- a/internal/front/upstream.go
+++ b/internal/front/upstream.go
@@ -29,6 +29,7 @@
 type serverDialogue struct {
 	peer           *peerConn
 	server         int       // index in Front.boxes, -1 for an orphan
+	address        string    // to which it was dialed
 	playback       *playback // nil for probes and orphans
 	try            int       // number of the try within its playback
 	state          dialogueState
@@ -62,7 +63,7 @@
 	dialogue.peer = &peerConn{conn: c, address: name, dialogue: dialogue, parser: rtsp.Parser{Bounds: rtsp.DefaultBounds}}
 	dialogue.peer.sink = sink{f, dialogue.peer}
 	c.Owner = dialogue.peer
-	dialogue.startedAt = f.now
+	dialogue.startedAt, dialogue.address = f.now, address
 	f.Figures.Dialogues++
 	f.network.Dial(c, address)
 }
@@ -103,11 +104,28 @@
 	if dialogue.state == stateOrphan {
 		f.send(peer, f.newRequest(dialogue, rtsp.Teardown).With("Dialogue", dialogue.orphanName))
 	}
+	if dialogue.playback != nil {
+		f.deferred = append(f.deferred, func() { f.sendSetup(dialogue) })
+	}
+	f.markUnflushed(peer)
+}
+
+// sendSetup sends the requests of a try whose connection is up. It runs at the end of a turn: a list update that came since
+// the connection was dialed, also one of the same turn, may have taken the box out of service or moved it.
+func (f *Front) sendSetup(dialogue *serverDialogue) {
+	peer := dialogue.peer
+	if peer.closed || dialogue.state != stateTrying {
+		return
+	}
+	if box := &f.boxes[dialogue.server]; box.state != session.Ready || box.address != dialogue.address {
+		f.dialogueLost(dialogue, session.NotSent)
+		return
+	}
 	if pb := dialogue.playback; pb != nil {
 		dialogue.requestsSent = true
 		if f.Journal != nil {
 			dialogue.journalName = f.newID()
-			f.Journal.Opened(life.Orphan{Name: dialogue.journalName, Address: f.boxes[dialogue.server].address, URI: dialogue.uri, At: f.now})
+			f.Journal.Opened(life.Orphan{Name: dialogue.journalName, Address: dialogue.address, URI: dialogue.uri, At: f.now})
 		}
 		dialogue.rung = pb.rung
 		dialogue.firstCSeq = dialogue.lastCSeq + 1
