The daemon takes a box out of service at whose address one started later

A box of the registry or the watched file stays in service while another, which started later, is listed at its address; set-ups for the first would go to the second and count for the wrong one. Cause: as on the platform, nothing concluded from the later start that the earlier process has ended. Change: the same rule for the daemon's list: the box comes back when it is listed at another address or with a later start.

--- a/internal/front/list.go
+++ b/internal/front/list.go
@@ -88,9 +88,32 @@
 			f.titles.catalogue[title.Name] = title
 		}
 	}
+	f.retireReplaced(&moduleUpdate)
 	f.module.Listed(moduleUpdate)
 }
 
+// retireReplaced takes out of service the boxes whose address a box has that started later: their processes have exited,
+// and a connection would lead to the other one. They come back when they are listed with another address or a later start.
+func (f *Front) retireReplaced(update *session.List) {
+	latest := map[string]Time{} // latest start by address
+	for i := range f.boxes {
+		if box := &f.boxes[i]; box.state != session.Gone {
+			latest[box.address] = max(latest[box.address], box.lastListed.Started)
+		}
+	}
+	for i := range f.boxes {
+		box := &f.boxes[i]
+		if box.state == session.Gone || box.lastListed.Started >= latest[box.address] {
+			continue
+		}
+		box.state, box.lastListed.State = session.Gone, session.Gone
+		update.Entries = append(update.Entries, box.lastListed)
+		if box.controlDialogue != nil {
+			f.closeDialogue(box.controlDialogue)
+		}
+	}
+}
+
 // SetFronts sets the number of fronts and the index of this one. The module reads both from the site that it was
 // created for, which is the one in the front's configuration.
 func (f *Front) SetFronts(fronts, front int) { f.Site.Fronts, f.Site.Front = fronts, front }
--- a/internal/front/scenario_test.go
+++ b/internal/front/scenario_test.go
@@ -142,16 +142,26 @@
 			Terms: session.Terms{ColdShare: .5, WarmUp: 1e5, ColdMultiple: 4, ColdSpan: 1e6, MaxTries: 3, MaxRetryAfter: 2e6}}}
 }
 
-func (s *scenario) updateList(state map[string]session.ServerState, whole bool) {
+// listedBox is what a list says of a box: its address is its name if that is empty.
+type listedBox struct {
+	state   session.ServerState
+	address string
+	started core.Time
+}
+
+func (s *scenario) updateList(state map[string]listedBox, whole bool) {
 	update := front.ListUpdate{Complete: whole}
 	for i := range 3 {
 		name := "box-" + strconv.Itoa(i)
-		if serverState, ok := state[name]; ok {
-			if serverState == session.Gone {
-				update.Servers = append(update.Servers, front.Server{Name: name, State: serverState}) // a registry reports nothing else of it
+		if box, ok := state[name]; ok {
+			if box.state == session.Gone {
+				update.Servers = append(update.Servers, front.Server{Name: name, State: box.state}) // a registry reports nothing else of it
 				continue
 			}
-			update.Servers = append(update.Servers, front.Server{Name: name, Address: name, Zone: "z", Kind: "std", Cell: i, Weight: 1, State: serverState})
+			if box.address == "" {
+				box.address = name
+			}
+			update.Servers = append(update.Servers, front.Server{Name: name, Address: box.address, Zone: "z", Kind: "std", Cell: i, Weight: 1, State: box.state, Started: box.started})
 		}
 	}
 	s.manager.UpdateList(update)
@@ -232,10 +242,13 @@
 	receive := func(b []byte) { s.turn(func() { s.manager.Received(conn, b) }) }
 	switch {
 	case party == "list":
-		state := map[string]session.ServerState{}
-		for _, x := range words[1:] {
+		state := map[string]listedBox{}
+		for _, x := range words[1:] { // NAME=STATE[^ADDRESS][@SECONDS of its start]
 			k, v, _ := strings.Cut(x, "=")
-			state[k] = map[string]session.ServerState{"ready": session.Ready, "drains": session.Draining, "gone": session.Gone}[v]
+			v, started, _ := strings.Cut(v, "@")
+			v, address, _ := strings.Cut(v, "^")
+			seconds, _ := strconv.ParseFloat(started, 64)
+			state[k] = listedBox{map[string]session.ServerState{"ready": session.Ready, "drains": session.Draining, "gone": session.Gone}[v], address, core.Time(seconds * 1e6)}
 		}
 		s.turn(func() { s.updateList(state, false) })
 	case party == "wait":
@@ -420,7 +433,7 @@
 				s.manager.AttachLifecycle(s.lifecycle, s)
 			}
 			s.turn(func() {
-				s.updateList(map[string]session.ServerState{"box-0": session.Ready, "box-1": session.Ready, "box-2": session.Ready}, true)
+				s.updateList(map[string]listedBox{"box-0": {state: session.Ready}, "box-1": {state: session.Ready}, "box-2": {state: session.Ready}}, true)
 			})
 		}
 		s.recordedActions = nil
