A stop answers requests that wait for the directory or the admission queue

Cause: Front.Stop answered the playbacks that the module had been asked about; the others were ended when their connection was closed already, and their replies dropped. Change: every playback of a player's connection is ended before that is flushed and closed.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -402,7 +402,8 @@
 // Admission returns the admission queue, nil without one, and the limiter in front of it.
 func (f *Front) Admission() (*fair.Queue, *fair.Limiter) { return f.queue, f.limiter }
 
-// Stop answers all open requests and ends all dialogues; later requests and connections are refused.
+// Stop answers all open requests, also those that wait for access control or admission, and ends all dialogues; later
+// requests and connections are refused.
 func (f *Front) Stop() {
 	f.stopped = true
 	for i := range f.boxes {
@@ -416,6 +417,9 @@
 		}
 	}
 	for peer := range f.players {
+		for _, pb := range slices.Clone(peer.playbacks) { // those that the module was not asked about yet
+			f.finish(pb, session.Cancelled)
+		}
 		f.flush(peer)
 		f.closePlayer(peer)
 	}
