A request that is read in the turn in which a title ends keeps its connection

Cause: endPlayback put the closing of an unused connection off to the end of the turn and did not look again. Change: the end of the turn looks again; a request that has come in part counts as use.

--- a/internal/front/player.go
+++ b/internal/front/player.go
@@ -675,8 +675,20 @@
 		}
 	}
 	f.detach(pb)
-	if len(peer.playbacks) == 0 && len(peer.pendingReplies) == 0 {
-		f.deferred = append(f.deferred, func() { f.closePlayer(peer) })
+	if !peer.inUse() {
+		f.deferred = append(f.deferred, func() { f.closeUnused(peer) })
+	}
+}
+
+// inUse reports whether a player's connection has a playback, an answer that is owed, or a request that is not whole yet.
+func (p *peerConn) inUse() bool {
+	return len(p.playbacks) > 0 || len(p.pendingReplies) > 0 || p.parser.Incomplete()
+}
+
+// closeUnused closes a player's connection at the end of a turn, unless a request came on it in the same turn.
+func (f *Front) closeUnused(peer *peerConn) {
+	if !peer.inUse() {
+		f.closePlayer(peer)
 	}
 }
 
--- a/internal/front/scenario_test.go
+++ b/internal/front/scenario_test.go
@@ -45,6 +45,7 @@
 	sessionIDs      map[string]string
 	recordedActions []string
 	receivedBytes   map[string]int
+	turnGoesOn      bool            // the next event comes in the same turn
 	lifecycle       *life.Lifecycle // nil unless the scenario sets one
 	otherManagers   []string
 	access          *tenants.Core
@@ -173,6 +174,9 @@
 	if event != nil {
 		event()
 	}
+	if s.turnGoesOn {
+		return
+	}
 	s.nextTurn = s.manager.EndTurn()
 }
 
@@ -253,6 +257,10 @@
 		s.turn(func() { s.updateList(state, false) })
 	case party == "wait":
 		s.turn(nil)
+	case party == "first": // first event ...: the next event comes in the same turn
+		s.turnGoesOn = true
+		s.applyEvent(words[1:])
+		s.turnGoesOn = false
 	case party == "stop":
 		s.turn(s.manager.Stop)
 	case party == "halt":
