Late notes release nothing: a quiet server is asked whether its process still runs

Cause: all playbacks of a server were over after 7 s without a message about one of them, which stands for a machine that was away and is back without them; late notes look the same. Change: bytes on a connection that was up when the process was last certain to run prove that it runs still. After 5 s without such proof the server is asked by a test on such a connection, where tests are allowed; the 7 s count from the last proof.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -395,7 +395,7 @@
 func (m *Manager) markPlaying(pb *playback) {
 	pb.phase, pb.phaseSince = phasePlaying, m.now
 	if len(pb.server.playing) == 0 { // a client that hands over sessions is no sign of their server
-		pb.server.lastPlaybackMessageAt = m.now
+		pb.server.sameProcessAt = m.now
 	}
 	pb.server.playing[pb] = struct{}{}
 	pb.viewer.playing++
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -16,26 +16,27 @@
 
 // server is a video server.
 type server struct {
-	id                    uint32
-	name                  string
-	index                 int // the module's number of the server
-	address               string
-	state                 session.ServerState
-	started               core.Time // start time reported by the server list
-	replaced              bool      // a server that started later has its address
-	conns                 []*serverConn
-	draining              []*serverConn // half-closed ones, which are only read
-	playing               map[*playback]struct{}
-	tries                 int                    // set-up tries in progress
-	probes                map[string]*core.Timer // timeouts of outstanding probes, by ID
-	lastReachedAt         core.Time              // last accepted connection or sign of the process: whether the machine can be reached
-	lastSignAt            core.Time              // last bytes of the process, or connection that it ended: a kernel accepts connections for one that hangs
-	lastPlaybackMessageAt core.Time              // last message about a playback of this manager
-	lastDialAt            core.Time
-	resetAt               core.Time       // last reset of a connection, 0 once another is up
-	firstRefusedAt        core.Time       // first refused connect since the last connection, 0 if none
-	goneAt                core.Time       // when the list reported it gone, 0 if it did not
-	outbox                []queuedMessage // messages waiting for a connection, such as withdrawals
+	id             uint32
+	name           string
+	index          int // the module's number of the server
+	address        string
+	state          session.ServerState
+	started        core.Time // start time reported by the server list
+	replaced       bool      // a server that started later has its address
+	conns          []*serverConn
+	draining       []*serverConn // half-closed ones, which are only read
+	playing        map[*playback]struct{}
+	tries          int                    // set-up tries in progress
+	probes         map[string]*core.Timer // timeouts of outstanding probes, by ID
+	lastReachedAt  core.Time              // last accepted connection or sign of the process: whether the machine can be reached
+	lastSignAt     core.Time              // last bytes of the process, or connection that it ended: a kernel accepts connections for one that hangs
+	sameProcessAt  core.Time              // until then it is certain that the process runs at which the playbacks stand: see confirmProcess
+	lastCheckAt    core.Time              // last test sent to find out whether it still does
+	lastDialAt     core.Time
+	resetAt        core.Time       // last reset of a connection, 0 once another is up
+	firstRefusedAt core.Time       // first refused connect since the last connection, 0 if none
+	goneAt         core.Time       // when the list reported it gone, 0 if it did not
+	outbox         []queuedMessage // messages waiting for a connection, such as withdrawals
 }
 
 // queuedMessage is a message to a server that may be sent on any connection.
@@ -285,6 +286,7 @@
 	}
 	conn.lastUsedAt = m.now
 	m.signOfLife(conn.server)
+	m.confirmProcess(conn)
 	err := conn.reader.Feed(data, func(msg *boxes.Message) { m.serverMessage(conn, msg) })
 	if err == nil || conn.closing {
 		return
@@ -346,7 +348,7 @@
 	if pb == nil || pb.server != srv || pb.phase == phasePending || pb.phase == phaseTrying && pb.conn != conn {
 		return // already ended, of another manager, or the answer to an earlier try
 	}
-	srv.lastPlaybackMessageAt = m.now
+	srv.sameProcessAt = m.now // a process that has been started anew would not know it
 	m.confirmHandover(pb)
 	switch msg.Op {
 	case boxes.Accept:
@@ -449,13 +451,14 @@
 		}
 		switch silentFor := m.now - srv.lastReachedAt; {
 		case len(srv.playing) == 0:
-		case m.notesExpected() && m.now-srv.lastPlaybackMessageAt > noteTimeout:
+		case m.notesExpected() && m.now-srv.sameProcessAt > noteTimeout:
 			m.endPlaybacks(srv, "no messages about its playbacks", nil)
 		case srv.state == session.Gone && (len(srv.conns) == 0 || silentFor > serverLostTimeout), silentFor > serverLostTimeout:
 			m.endPlaybacks(srv, "nothing received for "+strconv.FormatInt(silentFor/core.Millisecond, 10)+" ms", nil)
 		case silentFor > silenceBeforeRedial && m.now-srv.lastDialAt > silenceBeforeRedial/4:
 			m.checkReachable(srv)
 		}
+		m.checkProcess(srv)
 		if srv.state == session.Gone && len(srv.playing) == 0 && srv.tries == 0 && len(srv.probes) == 0 && m.now-srv.goneAt > endNoticeDeadline {
 			for _, conn := range slices.Concat(srv.conns, srv.draining) {
 				m.closeServerConn(conn)
