--- a/internal/lab/live.go
+++ b/internal/lab/live.go
@@ -243,6 +243,12 @@
 			break
 		}
 	}
+	if edge.Now() >= play.startedAt+play.Duration() { // some viewers are still there
+		env.mu.Lock()
+		play.endRetries()
+		env.mu.Unlock()
+		time.Sleep(time.Duration(play.longestAbandon()) * time.Microsecond)
+	}
 	time.Sleep(200 * time.Millisecond) // for the last closes to arrive
 	for _, check := range checks {
 		if err := check(play); err != nil {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -207,13 +207,28 @@
 	}
 }
 
-// Duration returns the time until every request of the day has been answered and every playback has ended.
+// Duration returns the time until every request of the day has been answered and every playback has ended, unless viewers
+// are told to retry later than after their usual delay.
 func (p *DayRun) Duration() Time {
-	longestWatch, longestAbandon := Time(0), Time(0)
+	longestWatch := Time(0)
 	for _, plan := range p.Day.Plans {
-		longestWatch, longestAbandon = max(longestWatch, plan.Watch[1]), max(longestAbandon, plan.Abandon)
+		longestWatch = max(longestWatch, plan.Watch[1])
 	}
-	return p.Day.Length + Time(p.Day.MaxRetries+1)*(longestWatch+2*longestAbandon+p.Day.RetryDelay)
+	return p.Day.Length + Time(p.Day.MaxRetries+1)*(longestWatch+2*p.longestAbandon()+p.Day.RetryDelay)
+}
+
+// longestAbandon returns the longest abandon time of all plans.
+func (p *DayRun) longestAbandon() (longest Time) {
+	for _, plan := range p.Day.Plans {
+		longest = max(longest, plan.Abandon)
+	}
+	return longest
+}
+
+// endRetries makes viewers that still wait to retry give up, so that the requests that are open can all be judged after
+// longestAbandon.
+func (p *DayRun) endRetries() {
+	p.env.Call("players", func(c core.Core) { c.(*player.Group).NoMoreRetries() })
 }
 
 func (p *DayRun) zoneName(i int) string { return "zone-" + strconv.Itoa(i%p.Day.Zones) }
@@ -791,6 +806,8 @@
 	p := StartDay(day, network, recording, faulty, log)
 	network.At(network.now+bucketWidth, func() { p.sample(network) })
 	network.Run(p.startedAt + p.Duration())
+	p.endRetries()
+	network.Run(network.now + p.longestAbandon())
 	p.Finish()
 	network.Run(network.now + core.Second)
 	p.checkTotals(network)
--- a/internal/standin/player/player.go
+++ b/internal/standin/player/player.go
@@ -92,6 +92,7 @@
 	Attempts int                     // attempts started
 	Bytes    int64                   // RTP bytes received in total
 	Playing  int                     // attempts in progress that have received a packet
+	closed   bool                    // viewers do not retry any more
 	Report   func(*Profile, *Result) // called once for each attempt, when it has ended
 }
 
@@ -148,6 +149,9 @@
 // Waiting returns the number of viewers that wait to retry.
 func (g *Group) Waiting() int { return g.waiting }
 
+// NoMoreRetries makes viewers give up that would try again later. Attempts in progress go on.
+func (g *Group) NoMoreRetries() { g.closed = true }
+
 // Start starts the first attempt of a viewer.
 func (g *Group) Start(profile *Profile) { g.startAttempt(profile, 0, "") }
 
@@ -481,7 +485,9 @@
 	g.waiting++
 	g.timers.Set(nil, g.now+wait, func() {
 		g.waiting--
-		g.open--
+		if g.open--; g.closed {
+			return
+		}
 		g.startAttempt(attempt.profile, attempt.number+1, attempt.result.RetryToken)
 	})
 }
