The silence of a server at which nothing stood counts from its first playback on

Cause: the server's silence was counted from when the list named it, though nothing stood there and no connection was wanted. Change: where nothing stands at a server, its silence starts with the next playback there; later ones do not start it anew.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -394,8 +394,8 @@
 // markPlaying records a playback as playing at its server and on its viewer's connection.
 func (m *Manager) markPlaying(pb *playback) {
 	pb.phase, pb.phaseSince = phasePlaying, m.now
-	if len(pb.server.playing) == 0 { // a client that hands over sessions is no sign of their server
-		pb.server.sameProcessAt = m.now
+	if len(pb.server.playing) == 0 { // the server's silence counts from here; later sessions that clients hand over are no sign of it
+		pb.server.sameProcessAt, pb.server.lastReachedAt = m.now, m.now
 	}
 	pb.server.playing[pb] = struct{}{}
 	pb.viewer.playing++
