A connection that a server closes in order is no reset of it

Cause: resetAt, which shortens the time after which refusals are an end, was set for an orderly close too. Change: it is set for connections that break alone. Refusals after an orderly close count as an end after a second.

--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -311,7 +311,9 @@
 	}
 	m.trace("connection to server %s lost: %v", srv.name, err)
 	m.closeServerConn(conn)
-	srv.resetAt = m.now
+	if !errors.Is(err, core.ErrClosedByPeer) { // a server may close connections in order and run on
+		srv.resetAt = m.now
+	}
 	for _, pb := range slices.Clone(conn.setups) {
 		offerSent := pb.offerSent
 		m.reportEnd(pb, session.Reset, "")
