--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -3,7 +3,6 @@
 import (
 	"pierlink/internal/core"
 	"pierlink/internal/platform/boxes"
-	"pierlink/session"
 )
 
 // The limits and timeouts that the session manager applies by itself: which connections it keeps, how long it waits where
@@ -72,13 +71,6 @@
 	stopAcceptingAfter = 7 * core.Second / 10 // no new connections arrive later than this
 )
 
-// notesExpected reports whether a server with playbacks of this manager sends notes often enough that their absence shows
-// the loss of the playbacks: a machine that was unreachable and came back accepts connections, but has lost its playbacks.
-func (m *Manager) notesExpected() bool {
-	settings := m.config.Settings
-	return settings.NoteInterval > 0 && settings.NoteInterval+settings.Site.Fleet.NoteDelay < endNoticeDeadline-2*core.Second
-}
-
 // MaxArriving returns how many connections from viewers are accepted beyond MaxViewers until others have been evicted.
 func MaxArriving(config *Config) int {
 	return min(config.Sockets/arrivingSocketsDivisor, maxArrivingSockets)
@@ -127,17 +119,6 @@
 	return conn.up && m.now-conn.lastUsedAt > max(settings.IdleTimeout-settings.ConnectTimeout-sweepInterval, settings.IdleTimeout/2)
 }
 
-// hasExited reports whether a server that refuses connections has exited, together with its playbacks. A process that
-// exits resets its connections and stops listening. A server at its connection limit also refuses for a while, and a
-// draining one until it exits. If no connection was reset, because none was up, the wait is longer.
-func (m *Manager) hasExited(srv *server) bool {
-	wait := refusalTimeout
-	if srv.resetAt > 0 {
-		wait = sweepInterval / 2
-	}
-	return srv.state == session.Ready && m.now-srv.firstRefusedAt >= wait
-}
-
 // evictionRank returns the eviction class of a connection and a time: the lowest class is evicted first, and within a
 // class the connection with the earliest time.
 func (v *viewerConn) evictionRank(now core.Time) (int, core.Time) {
--- a/internal/platform/serverconns.go
+++ b/internal/platform/serverconns.go
@@ -143,65 +143,6 @@
 	m.closeServerConn(conn)
 }
 
-// signOfLife records that the process of a server has written something, or has ended a connection. After a silence it
-// gets the time again to write on half-closed connections.
-func (m *Manager) signOfLife(srv *server) {
-	if m.now-srv.lastSignAt > drainTimeout {
-		for _, conn := range srv.draining {
-			m.timers.Set(conn.timer, m.now+drainTimeout, func() { m.endDraining(conn) })
-		}
-	}
-	srv.lastSignAt, srv.lastReachedAt = m.now, m.now
-}
-
-// confirmProcess records that a server has written something on a connection. If that was up when the process was last
-// certain to run at which its playbacks stand, it is a connection of that process, which so runs still.
-func (m *Manager) confirmProcess(conn *serverConn) {
-	if srv := conn.server; conn.upAt <= srv.sameProcessAt {
-		srv.sameProcessAt = m.now
-	}
-}
-
-// checkProcess sends a test to a server that has been quiet for long although notes are expected, on a connection of the
-// process at which its playbacks stand. Notes that are late, or stay out, are no sign that the process has ended; a
-// connection that it does not answer on may be one.
-func (m *Manager) checkProcess(srv *server) {
-	if len(srv.playing) == 0 || !m.config.Settings.Site.Terms.Probes || !m.notesExpected() ||
-		m.now-srv.sameProcessAt <= processCheckAfter || m.now-srv.lastCheckAt <= processCheckInterval {
-		return
-	}
-	for _, conn := range srv.conns {
-		if conn.up && conn.upAt <= srv.sameProcessAt && !m.nearIdleTimeout(conn) {
-			srv.lastCheckAt = m.now
-			m.stats.Probes++
-			m.send(conn, &boxes.Message{Op: boxes.Test, SessionID: m.newID()})
-			return
-		}
-	}
-}
-
-// checkReachable opens a connection to a silent server: whether it comes up shows whether the machine can be reached. It
-// takes the place of the newest one if that was opened for the same purpose, or if there are as many as there may be.
-func (m *Manager) checkReachable(srv *server) {
-	if srv.state == session.Gone {
-		return
-	}
-	var newest *serverConn
-	for _, conn := range srv.conns {
-		if conn.up && len(conn.setups) == 0 && (newest == nil || conn.upAt >= newest.upAt) {
-			newest = conn
-		}
-	}
-	unread := newest != nil && newest.upAt > srv.lastSignAt // the server may not even have accepted it
-	if newest != nil && (unread || len(srv.conns) >= m.connsPerServer) {
-		m.drainConn(newest)
-		if unread && !newest.draining {
-			m.closeServerConn(newest)
-		}
-	}
-	m.dial(srv)
-}
-
 func (m *Manager) closeServerConn(conn *serverConn) {
 	if conn.closing {
 		return
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -8,7 +8,6 @@
 
 	"pierlink/internal/core"
 	"pierlink/internal/platform/boxes"
-	"pierlink/internal/platform/feed"
 	"pierlink/internal/rtsp"
 	"pierlink/internal/start"
 	"pierlink/session"
@@ -45,101 +44,6 @@
 	expires core.Time // not sent after this time
 }
 
-// applyEvent applies an event of the server list.
-func (m *Manager) applyEvent(event feed.Event) {
-	list := session.List{Complete: event.Snapshot}
-	named := map[uint32]bool{}
-	processesChanged := false
-	for _, entry := range event.Servers {
-		named[entry.ID] = true
-		srv := m.servers[entry.ID]
-		if srv == nil {
-			if entry.State == session.Gone {
-				continue
-			}
-			srv = &server{id: entry.ID, name: feed.ServerName(entry.ID), playing: map[*playback]struct{}{}, probes: map[string]*core.Timer{}, lastReachedAt: m.now, lastSignAt: m.now}
-			srv.index = len(m.serverByIndex)
-			if count := len(m.freeServerIndexes); count > 0 {
-				srv.index, m.freeServerIndexes = m.freeServerIndexes[count-1], m.freeServerIndexes[:count-1]
-				m.serverByIndex[srv.index] = srv
-			} else {
-				m.serverByIndex = append(m.serverByIndex, srv)
-			}
-			m.servers[entry.ID] = srv
-		}
-		addressChanged := srv.address != entry.Address
-		processesChanged = processesChanged || addressChanged || entry.Started != srv.started
-		srv.state, srv.address = entry.State, entry.Address
-		if srv.started != entry.Started {
-			srv.started = entry.Started
-			m.endPlaybacks(srv, "the server has restarted", func(pb *playback) bool { return pb.phaseSince < srv.started })
-		}
-		for _, conn := range slices.Clone(srv.conns) { // a machine that was unreachable has not reset its connections
-			if addressChanged || conn.up && conn.upAt < srv.started-core.Millisecond {
-				m.serverConnLost(conn, errors.New("connection to an earlier process of the server"))
-			}
-		}
-		list.Entries = append(list.Entries, session.Entry{Server: srv.index, Zone: entry.Zone, Kind: entry.Kind, Cell: entry.Cell, State: entry.State,
-			Started: entry.Started, Weight: entry.Weight})
-	}
-	readyCount := 0
-	for id, srv := range m.servers {
-		if event.Snapshot && !named[id] {
-			srv.state = session.Gone
-		}
-		if srv.state == session.Gone && srv.goneAt == 0 {
-			srv.goneAt = m.now
-		} else if srv.state != session.Gone {
-			srv.goneAt = 0
-			readyCount++
-		}
-	}
-	if processesChanged {
-		m.retireReplaced()
-	}
-	m.connsPerServer = serverConnLimit(m.config, readyCount)
-	m.module.Listed(list)
-	m.trace("server list event %d, snapshot %v: %+v", event.Offset, event.Snapshot, event.Servers)
-}
-
-// errReplaced is the reason for closing connections to an address that belongs to another server now.
-var errReplaced = errors.New("another server has this address")
-
-// retireReplaced gives up servers whose address a server has that started later: their processes have exited, which the
-// list may tell later or not at all, and their connections are dead or lead to the other process.
-func (m *Manager) retireReplaced() {
-	latest := map[string]*server{} // by address
-	for _, srv := range m.servers {
-		if srv.state != session.Gone && (latest[srv.address] == nil || srv.started > latest[srv.address].started) {
-			latest[srv.address] = srv
-		}
-	}
-	for _, srv := range m.servers {
-		successor := latest[srv.address]
-		wasReplaced := srv.replaced
-		srv.replaced = successor != nil && successor.started > srv.started
-		if !srv.replaced || wasReplaced {
-			continue
-		}
-		for _, conn := range slices.Concat(srv.conns, srv.draining) {
-			m.serverConnLost(conn, errReplaced)
-		}
-		srv.outbox = nil
-		m.endPlaybacks(srv, "another server has its address", func(pb *playback) bool { return pb.phaseSince < successor.started })
-	}
-}
-
-// endPlaybacks ends the playbacks of a server that match selects, or all if match is nil.
-func (m *Manager) endPlaybacks(srv *server, reason string, match func(*playback) bool) {
-	m.trace("ending playbacks of server %s, %d playing: %s", srv.name, len(srv.playing), reason)
-	for pb := range srv.playing {
-		if match == nil || match(pb) {
-			m.notifyEnded(pb.viewer, pb.id, causeReset)
-			m.reportEnd(pb, session.Reset, "")
-		}
-	}
-}
-
 func (m *Manager) serverConnUp(conn *serverConn, err error) {
 	if conn.closing {
 		return
@@ -436,37 +340,3 @@
 	}
 	m.module.Noted(session.Note{Playback: pb.request.Playback, Server: pb.server.index, Kind: kind, Value: value})
 }
-
-// checkServers redials servers that have playbacks and are silent, retires connections before the servers close them for
-// idleness, ends playbacks of lost servers, and forgets servers that have left the list.
-func (m *Manager) checkServers() {
-	for id, srv := range m.servers {
-		for _, conn := range slices.Clone(srv.conns) {
-			idle := len(srv.probes) == 0 && m.nearIdleTimeout(conn) && (len(srv.playing) == 0 || len(srv.conns) > 1)
-			if conn.up && len(conn.setups) == 0 && (idle || conn.stale) {
-				m.drainConn(conn)
-			}
-		}
-		srv.outbox = slices.DeleteFunc(srv.outbox, func(queued queuedMessage) bool { return m.now > queued.expires })
-		if len(srv.conns) == 0 && srv.state != session.Gone && len(srv.outbox)+len(srv.playing) > 0 && m.now-srv.lastDialAt > sweepInterval/2 {
-			m.dial(srv)
-		}
-		switch silentFor := m.now - srv.lastReachedAt; {
-		case len(srv.playing) == 0:
-		case m.notesExpected() && m.now-srv.sameProcessAt > noteTimeout:
-			m.endPlaybacks(srv, "no messages about its playbacks", nil)
-		case srv.state == session.Gone && (len(srv.conns) == 0 || silentFor > serverLostTimeout), silentFor > serverLostTimeout:
-			m.endPlaybacks(srv, "nothing received for "+strconv.FormatInt(silentFor/core.Millisecond, 10)+" ms", nil)
-		case silentFor > silenceBeforeRedial && m.now-srv.lastDialAt > silenceBeforeRedial/4:
-			m.checkReachable(srv)
-		}
-		m.checkProcess(srv)
-		if srv.state == session.Gone && len(srv.playing) == 0 && srv.tries == 0 && len(srv.probes) == 0 && m.now-srv.goneAt > endNoticeDeadline {
-			for _, conn := range slices.Concat(srv.conns, srv.draining) {
-				m.closeServerConn(conn)
-			}
-			delete(m.servers, id)
-			m.freeServerIndexes = append(m.freeServerIndexes, srv.index)
-		}
-	}
-}
--- a/internal/quality/quality.go
+++ b/internal/quality/quality.go
@@ -100,15 +100,6 @@
 // OtherTitles is the title under which all titles without figures of their own are counted.
 const OtherTitles = "other"
 
-// series holds the figures of a group in a ring of time buckets.
-type series struct {
-	buckets     []Totals
-	unblamed    []Totals // for a title without its playbacks on outlier racks, for a rack without those of outlier titles
-	latest      Time     // number of the latest bucket
-	outlier     bool
-	clearChecks int // consecutive checks at which it was no outlier
-}
-
 // Types of players' reports.
 const (
 	StartupReport = iota + 1 // the first picture came after the reported duration
@@ -126,47 +117,6 @@
 	Rung       int
 }
 
-type interval struct{ from, to Time }
-
-// change is a change to another rung or rack at a time.
-type change struct {
-	at    Time
-	value int
-}
-
-// valueAt returns the value in force at a time; before the first change it is the first value.
-func valueAt(changes []change, at Time) int {
-	value := changes[0].value
-	for _, entry := range changes {
-		if entry.at <= at {
-			value = entry.value
-		}
-	}
-	return value
-}
-
-// playbackRecord holds all that is known of a playback.
-type playbackRecord struct {
-	id                              string
-	plan                            int
-	startRack                       int      // rack on which it started or failed; -1 for none
-	rackChanges                     []change // one for each move
-	title                           string
-	requestedAt, startedAt, endedAt Time // 0 until it happens
-	reportedStartup                 Time // by the player; -1 if not reported
-	stalls                          []interval
-	rungChanges                     []change
-	reportedRungs                   []change // rung changes reported by the player
-	lastSeq                         uint32
-	seenMask                        uint64 // bit n is set if lastSeq-n has been received
-}
-
-const (
-	maxStalls  = 64 // separate stalls of a playback; beyond that the shortest are dropped
-	maxChanges = 64 // rung changes or moves of a playback
-	seqWindow  = 64 // how far the sequence number of a report may be behind the latest
-)
-
 // Collector holds the records of playbacks and the figures of groups. It is not safe for concurrent use.
 type Collector struct {
 	Config
@@ -299,55 +249,6 @@
 	}
 }
 
-// markSeen marks a sequence number as received and reports whether it is new.
-func (r *playbackRecord) markSeen(seq uint32) bool {
-	switch {
-	case seq > r.lastSeq:
-		if ahead := seq - r.lastSeq; ahead < seqWindow {
-			r.seenMask = r.seenMask<<ahead | 1
-		} else {
-			r.seenMask = 1
-		}
-		r.lastSeq = seq
-		return true
-	case r.lastSeq-seq >= seqWindow || r.seenMask>>(r.lastSeq-seq)&1 == 1:
-		return false
-	}
-	r.seenMask |= 1 << (r.lastSeq - seq)
-	return true
-}
-
-// addStall adds a stall and merges it with those that it overlaps.
-func (r *playbackRecord) addStall(stall interval) {
-	if stall.to <= stall.from {
-		return
-	}
-	var separate []interval
-	for _, other := range r.stalls {
-		if other.to < stall.from || other.from > stall.to {
-			separate = append(separate, other)
-			continue
-		}
-		stall.from, stall.to = min(stall.from, other.from), max(stall.to, other.to)
-	}
-	r.stalls = append(separate, stall)
-	if len(r.stalls) > maxStalls {
-		slices.SortFunc(r.stalls, func(a, b interval) int { return cmp.Compare(b.to-b.from, a.to-a.from) })
-		r.stalls = r.stalls[:maxStalls]
-	}
-}
-
-// started returns the time at which a playback started, and false if it has not.
-func (r *playbackRecord) started() (Time, bool) {
-	switch {
-	case r.reportedStartup >= 0 && r.startedAt > 0:
-		return r.requestedAt + r.reportedStartup, true
-	case r.startedAt > 0:
-		return r.startedAt, true
-	}
-	return 0, false
-}
-
 // credit adds the figures of a playback up to a time, by rack and bucket. The revenue due belongs to the rack that
 // started the playback, and the time played to the rack that it played on.
 func (c *Collector) credit(record *playbackRecord, until Time, add func(rack int, at Time, figures Totals)) {
@@ -403,22 +304,6 @@
 	}
 }
 
-// oldestKept returns the start of the oldest bucket that is kept.
-func (c *Collector) oldestKept() Time {
-	return (c.now/c.BucketWidth - Time(c.BucketCount) + 1) * c.BucketWidth
-}
-
-// splitByBucket calls visit for each bucket kept that an interval overlaps, with the seconds in that bucket. However long
-// the interval is, there are no more of them than buckets.
-func (c *Collector) splitByBucket(from, to Time, visit func(at Time, seconds float64)) {
-	from, to = max(from, c.oldestKept()), min(to, (c.now/c.BucketWidth+1)*c.BucketWidth)
-	for from < to {
-		bucketEnd := min((from/c.BucketWidth+1)*c.BucketWidth, to)
-		visit(from, float64(bucketEnd-from)/1e6)
-		from = bucketEnd
-	}
-}
-
 // close credits a playback finally and removes its record.
 func (c *Collector) close(record *playbackRecord) {
 	delete(c.open, record.id)
@@ -442,74 +327,6 @@
 	})
 }
 
-// series returns the series of a group, creating it if needed; a title beyond the limit shares one series
-// with the other such titles.
-func (c *Collector) series(group Group) *series {
-	s := c.groups[group]
-	if s == nil && group.Kind == Title && group.Title != OtherTitles {
-		if c.titleCount >= max(c.MaxTitles, 1) {
-			c.evictEmptyTitles()
-		}
-		if c.titleCount >= max(c.MaxTitles, 1) {
-			group.Title = OtherTitles
-			s = c.groups[group]
-		} else {
-			c.titleCount++
-		}
-	}
-	if s == nil {
-		s = &series{buckets: make([]Totals, c.BucketCount), unblamed: make([]Totals, c.BucketCount)}
-		c.groups[group] = s
-	}
-	s.advance(c.now / c.BucketWidth)
-	return s
-}
-
-// evictEmptyTitles removes titles without any figures left.
-func (c *Collector) evictEmptyTitles() {
-	for group, s := range c.groups {
-		if group.Kind != Title || group.Title == OtherTitles || s.outlier {
-			continue
-		}
-		s.advance(c.now / c.BucketWidth)
-		if sum := s.sum(s.buckets); sum.RevenueDue == 0 && sum.Watched == 0 {
-			delete(c.groups, group)
-			c.titleCount--
-		}
-	}
-}
-
-// advance clears the buckets after the latest one up to the given one, which becomes the latest.
-func (s *series) advance(bucket Time) {
-	size := Time(len(s.buckets))
-	for skipped := max(s.latest+1, bucket-size+1); skipped <= bucket; skipped++ {
-		s.buckets[skipped%size], s.unblamed[skipped%size] = Totals{}, Totals{}
-	}
-	s.latest = max(s.latest, bucket)
-}
-
-func (s *series) add(buckets []Totals, bucket Time, figures *Totals) {
-	if size := Time(len(buckets)); bucket > s.latest-size && bucket <= s.latest {
-		buckets[bucket%size].add(figures)
-	}
-}
-
-// recent returns the sum of the latest count buckets.
-func (s *series) recent(buckets []Totals, count int) (total Totals) {
-	size := Time(len(buckets))
-	for bucket := max(s.latest-Time(count)+1, 0); bucket <= s.latest; bucket++ {
-		total.add(&buckets[bucket%size])
-	}
-	return total
-}
-
-func (s *series) sum(buckets []Totals) (total Totals) {
-	for i := range buckets {
-		total.add(&buckets[i])
-	}
-	return total
-}
-
 // Totals returns the sums over all buckets by group, including playbacks that are still open.
 func (c *Collector) Totals() map[Group]Totals {
 	all := map[Group]Totals{}
