What waits for a server that does not read has a bound

Change: the same bound for connections to servers, an eighth of the memory for all, 16 to 64 KiB each; beyond it the connection is given up, and the set-ups on it are tried elsewhere.

--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -30,9 +30,9 @@
 	unconfirmedDivisor    = 2       // at most 1/2 of the playbacks may be handed over and not confirmed by their servers
 	maxUnknownNotices     = 1024    // unacknowledged teardowns of sessions that no server has confirmed
 
-	minUnreadBytes      = boxes.MaxMessageSize     // bounds of the unsent bytes of a viewer's connection
+	minUnreadBytes      = boxes.MaxMessageSize     // bounds of the unsent bytes of a connection
 	maxUnreadBytes      = 4 * boxes.MaxMessageSize // beyond which it is closed
-	unreadMemoryDivisor = 8                        // between them, 1/8 of the memory is for those of all connections
+	unreadMemoryDivisor = 8                        // between them, 1/8 of the memory is for those of all viewers, and of all servers
 	maxQueuedMessages   = 1024                     // messages per server that wait for a connection
 )
 
@@ -88,8 +88,15 @@
 }
 
 // unreadLimit returns how many bytes may wait for a viewer that does not read before its connection is closed.
-func unreadLimit(config *Config) int {
-	share := int(config.MemoryBytes) / unreadMemoryDivisor / MaxViewers(config)
+func unreadLimit(config *Config) int { return unreadShare(config, MaxViewers(config)) }
+
+// serverUnreadLimit is the same for a connection to a server.
+func serverUnreadLimit(config *Config) int {
+	return unreadShare(config, config.Sockets/serverSocketsDivisor)
+}
+
+func unreadShare(config *Config, connections int) int {
+	share := int(config.MemoryBytes) / unreadMemoryDivisor / connections
 	return min(max(share, minUnreadBytes), maxUnreadBytes)
 }
 
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -122,8 +122,14 @@
 	m.trace("to server %s: %s", conn.server.name, msg.Append(nil))
 	conn.lastUsedAt = m.now
 	m.network.Send(conn.transport, msg.Append(nil))
+	if m.network.Pending(conn.transport) > serverUnreadLimit(m.config) {
+		m.deferred = append(m.deferred, func() { m.serverConnLost(conn, errUnread) })
+	}
 }
 
+// errUnread is the reason for closing a connection on which too much waits for a server that does not read.
+var errUnread = errors.New("the server does not read")
+
 // sendToServer sends a message on any connection, or queues it until one is up.
 func (m *Manager) sendToServer(srv *server, msg *boxes.Message) {
 	for _, conn := range srv.conns {
