A file that is replaced between its reading and its watch is read again

Cause: the watch took its first look at the file after the list had been read. Change: the reader takes the file's version before it reads, and the watch compares with that; for the door's keys, too. Measured: TestWatch, with a change between the two, passes; it cannot be built with the code before, so it was not seen to fail.

--- a/cmd/pierlink/main.go
+++ b/cmd/pierlink/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"pierlink/internal/edge"
 	"pierlink/internal/front"
 	"pierlink/internal/settings"
 )
@@ -63,21 +64,28 @@
 }
 
 // readSettings reads the settings and the server list that they name.
-func readSettings(file string) (*settings.Config, front.ListUpdate, error) {
+func readSettings(file string) (*settings.Config, serverList, error) {
 	site, err := settings.Read(file)
 	if err != nil {
-		return nil, front.ListUpdate{}, fmt.Errorf("%s: %w", file, err)
+		return nil, serverList{}, fmt.Errorf("%s: %w", file, err)
 	}
 	if site.Registry != nil {
-		return site, front.ListUpdate{}, nil
+		return site, serverList{}, nil
 	}
-	list, err := settings.ReadServerList(serversPath(file, site), site)
-	if err != nil {
-		return nil, list, fmt.Errorf("%s: %w", serversPath(file, site), err)
+	path := serversPath(file, site)
+	list := serverList{version: edge.VersionOf(path)}
+	if list.ListUpdate, err = settings.ReadServerList(path, site); err != nil {
+		return nil, list, fmt.Errorf("%s: %w", path, err)
 	}
 	return site, list, nil
 }
 
+// serverList is a server list and the version of the file that it was read from.
+type serverList struct {
+	front.ListUpdate
+	version edge.FileVersion
+}
+
 func serversPath(file string, site *settings.Config) string {
 	if filepath.IsAbs(site.Servers) {
 		return site.Servers
--- a/cmd/pierlink/serve.go
+++ b/cmd/pierlink/serve.go
@@ -162,7 +162,7 @@
 	p.loop.Do(func() {
 		p.adoptOrphans(orphans)
 		if site.Registry == nil {
-			p.front.UpdateList(list)
+			p.front.UpdateList(list.ListUpdate)
 			lifecycle.Satisfy(life.ServerListLoaded)
 		}
 		lifecycle.Satisfy(life.SettingsLoaded)
@@ -181,7 +181,7 @@
 		}
 		defer p.registryClient.Close()
 	} else {
-		go p.watchServerList(stopped.Done())
+		go p.watchServerList(list.version, stopped.Done())
 	}
 	if site.Metrics != "" {
 		labels := 0
@@ -537,9 +537,9 @@
 }
 
 // watchServerList applies changes of the server list's file.
-func (p *process) watchServerList(stop <-chan struct{}) {
+func (p *process) watchServerList(inForce edge.FileVersion, stop <-chan struct{}) {
 	path := serversPath(p.settingsFile, p.site)
-	edge.WatchFile(path, fileWatchInterval, stop, func(text []byte) {
+	edge.WatchFile(path, inForce, fileWatchInterval, stop, func(text []byte) {
 		list, err := settings.ParseServerList(text, p.site)
 		if err != nil {
 			p.log.Error("new server list rejected; keeping the current one", zap.String("file", path), zap.Error(err))
--- a/internal/edge/keypair.go
+++ b/internal/edge/keypair.go
@@ -14,12 +14,13 @@
 // new pair; open connections are not affected.
 type KeyPair struct {
 	certFile, keyFile string
+	loaded            [2]FileVersion // of the two files when they were loaded first
 	current           atomic.Pointer[tls.Certificate]
 }
 
 // LoadKeyPair loads a certificate and its private key, which have to match.
 func LoadKeyPair(certFile, keyFile string) (*KeyPair, error) {
-	k := &KeyPair{certFile: certFile, keyFile: keyFile}
+	k := &KeyPair{certFile: certFile, keyFile: keyFile, loaded: [2]FileVersion{VersionOf(certFile), VersionOf(keyFile)}}
 	return k, k.Reload()
 }
 
@@ -49,8 +50,8 @@
 // Watch polls both files at the given interval until stop is closed, and reloads the pair on a change. The files are
 // written one after the other: a pair that does not match yet is loaded when the second file changes.
 func (k *KeyPair) Watch(interval time.Duration, stop <-chan struct{}, logger *zap.Logger) {
-	for _, path := range []string{k.certFile, k.keyFile} {
-		go WatchFile(path, interval, stop, func([]byte) {
+	for i, path := range []string{k.certFile, k.keyFile} {
+		go WatchFile(path, k.loaded[i], interval, stop, func([]byte) {
 			if err := k.Reload(); err != nil {
 				logger.Error("TLS certificate and key not reloaded, the old pair stays in use", zap.Error(err))
 				return
--- a/internal/edge/loop_test.go
+++ b/internal/edge/loop_test.go
@@ -219,11 +219,16 @@
 		}
 	}
 	write("one")
+	inForce := edge.VersionOf(file)
+	write("one and a half") // before the file is watched
 	stop := make(chan struct{})
 	defer close(stop)
 	contents := make(chan string, 8)
 	var failed atomic.Int32
-	go edge.WatchFile(file, time.Millisecond, stop, func(b []byte) { contents <- string(b) }, func(error) { failed.Add(1) })
+	go edge.WatchFile(file, inForce, time.Millisecond, stop, func(b []byte) { contents <- string(b) }, func(error) { failed.Add(1) })
+	if got := <-contents; got != "one and a half" {
+		t.Error(got)
+	}
 	time.Sleep(20 * time.Millisecond)
 	write("two")
 	if got := <-contents; got != "two" {
