What was set up at a new process before the list told of it keeps its connections

Seen: by reading the change before: a set-up that reached the new process under the old server's id, on a connection that came up there before the list told of it, runs there; giving up that connection left it standing with nobody to end it. Change: connections that came up since the later start are kept while something stands there that began since, for nothing new. Open set-ups on them are withdrawn.

--- a/internal/platform/serverconns.go
+++ b/internal/platform/serverconns.go
@@ -28,6 +28,9 @@
 
 // connFor returns the usable connection with the fewest pending set-ups, or dials a new one if the limits permit.
 func (m *Manager) connFor(srv *server) *serverConn {
+	if srv.replaced {
+		return nil
+	}
 	var best *serverConn
 	for _, conn := range srv.conns {
 		if conn.stale || m.nearIdleTimeout(conn) {
--- a/internal/platform/serverlist.go
+++ b/internal/platform/serverlist.go
@@ -96,10 +96,22 @@
 		if !srv.replaced || wasReplaced {
 			continue
 		}
-		for _, conn := range slices.Concat(srv.conns, srv.draining) {
+		m.endPlaybacks(srv, "another server has its address", func(pb *playback) bool { return pb.phaseSince < successor.started })
+		m.giveUpConns(srv, successor.started)
+		srv.outbox = nil
+	}
+}
+
+// giveUpConns gives up the connections of a server whose process has been replaced by one that started at a time.
+// Connections that came up since lead to that one: they are kept, for what was set up on them, and used for nothing new.
+func (m *Manager) giveUpConns(srv *server, started core.Time) {
+	for _, conn := range slices.Concat(srv.conns, srv.draining) {
+		if len(srv.playing) == 0 || !conn.up || conn.draining || conn.upAt < started-core.Millisecond {
 			m.serverConnLost(conn, errReplaced)
+			continue
+		}
+		for _, pb := range slices.Clone(conn.setups) {
+			m.reportEnd(pb, session.Reset, "")
 		}
-		srv.outbox = nil
-		m.endPlaybacks(srv, "another server has its address", func(pb *playback) bool { return pb.phaseSince < successor.started })
 	}
 }
--- a/internal/platform/servers.go
+++ b/internal/platform/servers.go
@@ -152,6 +152,10 @@
 func (m *Manager) probeServer(srv *server) {
 	id := m.newID()
 	srv.probes[id] = m.timers.Set(nil, m.now+m.config.Settings.ConnectTimeout, func() { m.probeEnded(srv, id, session.TimedOut, "") })
+	if srv.replaced {
+		m.deferred = append(m.deferred, func() { m.probeEnded(srv, id, session.NoConnection, "") })
+		return
+	}
 	m.sendToServer(srv, &boxes.Message{Op: boxes.Test, SessionID: id, Cause: 1})
 	if len(srv.conns) == 0 {
 		m.deferred = append(m.deferred, func() { m.failProbes(srv, session.NoConnection) })
