A quiet server is tested only once a note of it is overdue

Need: a test has a price. Where notes take over 5 s, one was sent between any two notes. Change: the test waits for the notes' interval and delay, where that is longer than 5 s; it is then sent twice a second until the 7 s are over.

--- a/internal/platform/limits.go
+++ b/internal/platform/limits.go
@@ -40,8 +40,8 @@
 const (
 	endNoticeDeadline     = 8 * core.Second                     // the end of a playback has to be reported within this time; later reports do not count
 	noteTimeout           = endNoticeDeadline - core.Second     // a server has lost its playbacks if for this long it is not certain that their process runs
-	processCheckAfter     = noteTimeout - 2*core.Second         // a server that is quiet for this long is asked whether it does
-	processCheckInterval  = core.Second                         // between such tests
+	minProcessCheckAfter  = noteTimeout - 2*core.Second         // a server that is quiet for this long, or longer than notes need, is asked whether it does
+	processCheckInterval  = core.Second / 2                     // between such tests
 	silenceBeforeRedial   = endNoticeDeadline / 4               // a new connection is tried to a server that has sent nothing at all for this long
 	serverLostTimeout     = 5 * endNoticeDeadline / 8           // a server that could not be reached for this long is treated as failed
 	badClientDeadline     = 3 * core.Second                     // a misbehaving client must get an answer or a close within this time
--- a/internal/platform/serverhealth.go
+++ b/internal/platform/serverhealth.go
@@ -69,7 +69,7 @@
 // connection that it does not answer on may be one.
 func (m *Manager) checkProcess(srv *server) {
 	if len(srv.playing) == 0 || !m.config.Settings.Site.Terms.Probes || !m.notesExpected() ||
-		m.now-srv.sameProcessAt <= processCheckAfter || m.now-srv.lastCheckAt <= processCheckInterval {
+		m.now-srv.sameProcessAt <= m.processCheckAfter() || m.now-srv.lastCheckAt <= processCheckInterval {
 		return
 	}
 	for _, conn := range srv.conns {
@@ -82,6 +82,12 @@
 	}
 }
 
+// processCheckAfter returns for how long a server may be quiet before it is tested: no test is sent before a note is overdue.
+func (m *Manager) processCheckAfter() core.Time {
+	settings := m.config.Settings
+	return max(minProcessCheckAfter, settings.NoteInterval+settings.Site.Fleet.NoteDelay+sweepInterval)
+}
+
 // checkReachable opens a connection to a silent server: whether it comes up shows whether the machine can be reached. It
 // takes the place of the newest one if that was opened for the same purpose, or if there are as many as there may be.
 func (m *Manager) checkReachable(srv *server) {
