A connection on which a session was moved may bring an answer to that

Need: a connection on which sessions were handed over counts as one that is served only once a server has mentioned one of them; an answer to REDIRECT there would have been taken for one that nobody asked for, and the connection closed. Change: sending REDIRECT counts as a request of ours on that connection, as TEARDOWN does. Measured: the tests of the package pass; no test sends that answer.

--- a/internal/platform/actions.go
+++ b/internal/platform/actions.go
@@ -73,6 +73,7 @@
 	m.stats.Moved++
 	pb.moving = true
 	if viewer := m.notifyConn(pb.viewer, nil); viewer != nil {
+		viewer.hasNotices = true
 		m.sendToViewer(viewer, rtsp.NewRequest(rtsp.Redirect, "rtsp://media/"+pb.titleKey, 4).With("Session", pb.id))
 	}
 	pb.timer = m.timers.Set(pb.timer, m.now+core.Second, func() { // the server normally ends it first
--- a/internal/platform/viewers.go
+++ b/internal/platform/viewers.go
@@ -51,7 +51,7 @@
 	unconfirmed   list.List // of *playback: handed over here, and not mentioned by their servers yet
 	hasServed     bool      // a set-up was answered with 200 here, or a playing session taken over and confirmed by its server
 	hasAsked      bool      // a request of a known kind was read here
-	hasNotices    bool      // a teardown was written here
+	hasNotices    bool      // a request of this manager was written here
 	left          bool      // its client has closed it; what it had sent is still being read
 	closing       bool
 }
