The test of left clients waits until the stopped process has stopped

Cause: the test writes and closes while the manager is stopped, but a stop signal takes effect later on a busy machine: the poller still ran, and read the first set-ups before their client had closed the connection, which is allowed. Change: the test waits until all threads of the process are stopped (/proc) before it writes. What it asks is as it was.

--- a/cmd/pierlink/left_test.go
+++ b/cmd/pierlink/left_test.go
@@ -39,6 +39,7 @@
 			text.WriteString(request())
 		}
 		o.manager.signal(syscall.SIGSTOP) // shorter than what makes a turn late
+		o.manager.waitUntilStopped()
 		_, _ = conn.Write([]byte(text.String()))
 		_ = conn.Close()
 		o.manager.signal(syscall.SIGCONT)
--- a/cmd/pierlink/platform_test.go
+++ b/cmd/pierlink/platform_test.go
@@ -144,6 +144,26 @@
 	}
 }
 
+// waitUntilStopped waits until a stop signal has stopped all threads of the process.
+func (m *managerProcess) waitUntilStopped() {
+	m.t.Helper()
+	for end := time.Now().Add(testTimeout); ; time.Sleep(100 * time.Microsecond) {
+		states, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", m.cmd.Process.Pid))
+		if err != nil || time.Now().After(end) {
+			m.t.Fatal("the process has not stopped:", err)
+		}
+		stopped := len(states) > 0
+		for _, path := range states {
+			text, err := os.ReadFile(path)
+			_, state, _ := strings.Cut(string(text), ") ")
+			stopped = stopped && (err != nil || strings.HasPrefix(state, "T"))
+		}
+		if stopped {
+			return
+		}
+	}
+}
+
 func (m *managerProcess) waitForLog(text string) {
 	m.t.Helper()
 	for end := time.Now().Add(testTimeout); !m.log.contains(text); time.Sleep(time.Millisecond) {
